Admission control: limit requests in flight per zone by all its servers' answers

Checked and ruled out: it is not the sidecars' processor time (0.5 ms to the first attempt), nor retries by the sidecars (under 15 in 100 sends, none after 9 s). Lines at fault: Choice.hasRoom and limit(): a limit of its own for each of 60 servers, started at 3, for a sidecar that sends each about one request a second: 180 in flight are allowed where 10 are usual. The chance in request() is only for sites with more sidecars than servers.

Now ZoneLimit holds one limit a zone, moved by all answers from it while it reports to be busy; what finds no room in any zone is answered at once.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -93,6 +93,7 @@
     private final double[] usualMicros, tenantCredit, classFaults;
 
     private double[] kindPace = {}, zonePace = {};
+    private final ZoneLimit[] zoneLimits;
     private double usualHint, retryTokens = RETRY_SAVED / 2;
     private long taken;
     /** Further attempts within the look-back: when, and how many requests had been taken by then. */
@@ -191,6 +192,8 @@
         }
         aimMicros = aims / classes;
 
+        zoneLimits = Stream.generate(ZoneLimit::new).limit(Math.max(1, settings.zones().size()))
+                .toArray(ZoneLimit[]::new);
         totalShare = settings.tenants().stream().mapToDouble(Tenant::share).sum();
         anySafe = safe;
         tenantCredit = new double[Math.max(1, settings.tenants().size())];
@@ -444,6 +447,11 @@
     /** Sends the request, or holds it in the queue. */
     private void admit(long now, Pending p) {
         if (p.over || p.queued) return;
+        if (!ready.isEmpty() && ready.stream().allMatch(b -> zoneLimit(b).full())) {
+            // Wherever it went it would be late, and make others late: its client can still ask again.
+            end(now, p);
+            return;
+        }
         p.queued = true;
         held.add(p);
         pump(now);
@@ -652,7 +660,7 @@
 
     /** Admission control of one server, slow start and half-open trials among it. */
     private boolean hasRoom(long now, Pending p, Backend b, int among) {
-        if (now < b.pausedUntil || silent(b) || !mayRunOn(now, p, b)) return false;
+        if (zoneLimit(b).full() || now < b.pausedUntil || silent(b) || !mayRunOn(now, p, b)) return false;
         if (!connectable(now, p, b)) return false;
         if (b.openUntil != 0) return now >= b.openUntil && halfOpen(now, p, b);
         double cold = coldShare(now, b);
@@ -667,6 +675,10 @@
         return b.out.size() < b.limit && (sparse || now >= b.restUntil);
     }
 
+    private ZoneLimit zoneLimit(Backend b) {
+        return zoneLimits[Math.min(Math.max(0, b.line.zone()), zoneLimits.length - 1)];
+    }
+
     /**
      * Slow start as a sum over all instances: each request that walks to a node has one chance, by that share
      * of what one of its servers is sent. Nothing is saved up, so no burst can come of it.
@@ -743,7 +755,7 @@
         p.attempts.add(a);
         p.out++;
         b.out.addLast(a);
-
+        zoneLimit(b).sent();
         actions.send(p.request.id(), b.id, 0);
     }
 
@@ -800,6 +812,7 @@
         if (a.result != null) return;
         a.result = o.result();
         p.out--;
+        zoneLimit(a.server).ended();
         a.server.out.remove(a);
         outstanding.remove(a);
         if (a.suspected) a.server.suspects--;
@@ -826,6 +839,7 @@
             case SERVED -> {
                 report(now, b, o.report(), true);
                 answered(now, a, o.elapsedMicros());
+                zoneLimit(b).answered(o.elapsedMicros() / a.of.rules.aimMicros());
                 double x = o.elapsedMicros() / (1 + a.load);
                 double factor = a.usual / usualMicros[c];
                 usualMicros[c] += USUAL_WEIGHT * (Math.min(x / factor, 4 * usualMicros[c]) - usualMicros[c]);
@@ -843,6 +857,7 @@
                 b.opened = true;
                 faulty(now, b, c);
                 crowded();
+                zoneLimit(b).crowded();
                 b.limit = Math.max(1, b.limit * LIMIT_CUT);
                 b.pausedUntil = now + (long) (a.usual / 2 + random.nextDouble() * a.usual);
             }
@@ -862,6 +877,7 @@
             default -> {
                 // A client that has no patience says nothing of the server.
                 if (o.result() == Result.TIMED_OUT && o.elapsedMicros() * 2 < HANGING * a.expected) return;
+                if (o.result() == Result.TIMED_OUT) zoneLimit(b).crowded();
                 if (o.result() == Result.TIMED_OUT && !a.suspected) suspect(now, a, false);
                 if (known(now, b) * a.usual > LIMIT_TARGET * a.of.rules.aimMicros()) crowded();
                 if (a.idle > aimMicros / 4 || a.suspected && b.usedAt > b.suspectedAt) return;
@@ -992,6 +1008,7 @@
         if (!answer || settings.reports() != ReportSource.ANSWERS) return;
         if (report != null && !Double.isNaN(report.utilization())) {
             b.use = report.utilization();
+            zoneLimit(b).reported(b.use);
             meanUse = Double.isNaN(meanUse) ? b.use : meanUse + USUAL_WEIGHT * (b.use - meanUse);
             b.reportedAt = now;
         } else if (!Double.isNaN(meanUse)) {
--- /dev/null
+++ b/src/test/java/larkbank/CrowdTest.java
@@ -0,0 +1,129 @@
+package larkbank;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Group;
+import larkbank.LoadBalancer.Limits;
+import larkbank.LoadBalancer.LoadReport;
+import larkbank.LoadBalancer.Outcome;
+import larkbank.LoadBalancer.ReportSource;
+import larkbank.LoadBalancer.Result;
+import larkbank.LoadBalancer.Settings;
+import org.junit.jupiter.api.Test;
+
+/** A fleet of instances that share nothing, on servers that queue what they are sent and forget nothing. */
+class CrowdTest {
+
+    private static final int SIDECARS = 14;
+    private static final int SERVERS = 40;
+    private static final long WORK = 40_000;
+    private static final long AIM = 200_000;
+
+    private record Event(long at, int instance, Outcome outcome) { }
+
+    private final List<Recorder> fleet = new ArrayList<>();
+    private final PriorityQueue<Event> answers = new PriorityQueue<>(Comparator.comparingLong(Event::at));
+    /** When each server will have done all that it was sent. */
+    private final Map<Long, ArrayDeque<Long>> queues = new HashMap<>();
+    private int inTime;
+
+    private void open() {
+        Settings s = Recorder.settings(Effect.KEYED, Group.ZONE);
+        for (int i = 0; i < SIDECARS; i++) {
+            fleet.add(new Recorder(new Settings(1000 + i, i, SIDECARS, i % 2, s.zones(), s.classes(),
+                    s.tenants(), s.overShareWorth(), 0,
+                    new Limits(4, true, false, true, 1_000_000, 60_000_000, 10_000), s.rules(),
+                    ReportSource.ANSWERS, false, false, 1000), SERVERS));
+        }
+    }
+
+    /** So many requests a second for so long; each server does 25 a second. */
+    private int play(long from, long until, int perSecond) {
+        inTime = 0;
+        int number = 0;
+        for (long at = from; at < until; at += 1_000_000 / perSecond) {
+            answerUntil(at);
+            int instance = number++ % SIDECARS;
+            Recorder r = fleet.get(instance);
+            int before = r.sent.size();
+            r.now = at;
+            r.request("r" + at);
+            sent(instance, before);
+        }
+        answerUntil(until);
+        return inTime;
+    }
+
+    private void sent(int instance, int before) {
+        Recorder r = fleet.get(instance);
+        for (Recorder.Sent s : r.sent.subList(before, r.sent.size())) {
+            ArrayDeque<Long> queue = queues.computeIfAbsent(s.server(), id -> new ArrayDeque<>());
+            queue.removeIf(end -> end <= s.at());
+            long end = Math.max(s.at(), queue.isEmpty() ? 0 : queue.peekLast()) + WORK;
+            queue.addLast(end);
+            double use = Math.min(1, queue.size() / 2.0);
+            long took = Math.min(end - s.at(), 1_000_000);
+            answers.add(new Event(s.at() + took, instance, new Outcome(s.request(), 0, s.server(),
+                    end - s.at() > took ? Result.TIMED_OUT : Result.SERVED, took, end - s.at() <= took,
+                    new LoadReport(Double.NaN, Double.NaN, use, 40, 25, 0))));
+        }
+    }
+
+    private void answerUntil(long until) {
+        while (!answers.isEmpty() && answers.peek().at() <= until) {
+            Event e = answers.poll();
+            Recorder r = fleet.get(e.instance());
+            int before = r.sent.size();
+            r.now = e.at();
+            r.choice.outcome(e.at(), e.outcome());
+            inTime += e.outcome().result() == Result.SERVED && e.outcome().elapsedMicros() <= AIM ? 1 : 0;
+            sent(e.instance(), before);
+        }
+    }
+
+    /**
+     * Half of a fleet's servers had gone: each of the others saw a request a second from each sidecar, far
+     * under any limit of its own, so all queued up to the deadline and hardly an answer was in time.
+     */
+    @Test
+    void aFleetAskedForTwiceItsCapacityStillAnswersMostOfThatInTime() {
+        open();
+        int capacity = (int) (SERVERS * 1_000_000 / WORK);
+        play(1_000_000, 6_000_000, capacity / 2);
+        play(6_000_000, 9_000_000, 2 * capacity);
+        int served = play(9_000_000, 14_000_000, 2 * capacity);
+        assertTrue(served > 0.6 * 5 * capacity, served + " in time of " + 5 * capacity + " possible");
+    }
+
+    @Test
+    void whatACrowdedZoneHasNoRoomForIsAnsweredAtOnce() {
+        open();
+        int capacity = (int) (SERVERS * 1_000_000 / WORK);
+        play(1_000_000, 9_000_000, 2 * capacity);
+        Recorder r = fleet.get(0);
+        int refused = r.refused.size();
+        for (int i = 0; i < 100; i++) {
+            r.request("at once " + i);
+        }
+        assertTrue(r.refused.size() > refused + 20, "refused " + (r.refused.size() - refused));
+        assertEquals(100, r.refused.size() - refused
+                + r.sent.stream().filter(s -> s.request().startsWith("at once")).count(), "none is held");
+    }
+
+    /** A fleet at two thirds of its capacity is not crowded, however its answers are spread. */
+    @Test
+    void aFleetWithRoomRefusesNothing() {
+        open();
+        play(1_000_000, 11_000_000, (int) (SERVERS * 1_000_000 / WORK) / 2);
+        assertEquals(0, fleet.stream().mapToInt(r -> r.refused.size()).sum());
+    }
+}
