--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -199,7 +199,7 @@
         tenantCredit = new double[Math.max(1, settings.tenants().size())];
         Arrays.fill(tenantCredit, SHARE_SLACK);
         rateSpan = 2.0 * Math.max(1, settings.rules().fallMicros());
-        boolean probing = settings.limits().probing() && settings.reports() != ReportSource.NONE;
+        boolean probing = settings.limits().probing() && settings.reports() == ReportSource.PROBES;
         probesPerRequest = !probing ? 0 : Math.min(4, PROBE_SPEND / Math.max(settings.probePrice(), 1e-6));
     }
 
--- a/src/test/java/larkbank/RulesTest.java
+++ b/src/test/java/larkbank/RulesTest.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Group;
+import larkbank.LoadBalancer.Limits;
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Outcome;
@@ -213,6 +214,20 @@
         assertEquals(kept, r.sent.size() - before >= 12);
     }
 
+    /** Probes cost their price and a wait, and told nothing that the next answer does not. */
+    @ParameterizedTest
+    @CsvSource({"ANSWERS, false", "PROBES, true"})
+    void probesOnlyWhereNothingElseTellsTheLoad(ReportSource source, boolean probes) {
+        Settings s = Recorder.settings(Effect.UNSAFE, Group.ALL);
+        Recorder r = new Recorder(new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(),
+                s.classes(), s.tenants(), s.overShareWorth(), s.probePrice(),
+                new Limits(4, true, true, true, 1_000_000, 60_000_000, 100), s.rules(), source,
+                s.discoveryOnAsk(), s.warmKeys(), s.tickMicros()), 4);
+        r.request("a");
+        assertEquals(probes, !r.probes.isEmpty());
+        assertEquals(probes, r.sent.isEmpty());
+    }
+
     @Test
     void hangingServerLosesItsTraffic() {
         Recorder r = new Recorder(Recorder.settings(Effect.UNSAFE, Group.ALL), 4);
