Take slow answers from half of the aim on and errors on idle connections for what they are

Seen, with the limit of each sidecar printed: it stood at 18 while p50 was 0.42 s, since the part of the aim was taken in whole numbers, so only answers past all of the aim were slow. Line at fault: learn() left out whatever came on a connection idle for a quarter of an aim, which is nearly every one where each sidecar sends a server one request a second. An error is the server's own word, so it counts.

--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -447,21 +447,29 @@
     /** Sends the request, or holds it in the queue. */
     private void admit(long now, Pending p) {
         if (p.over || p.queued) return;
-        if (!ready.isEmpty() && ready.stream().allMatch(b -> zoneLimit(b).full())) {
-            // Wherever it went it would be late, and make others late: its client can still ask again.
-            end(now, p);
-            return;
-        }
         p.queued = true;
         held.add(p);
         pump(now);
         if (!p.queued) return;
+        if (crowdedOut()) {
+            end(now, p);
+            return;
+        }
         waitOn(now, p);
         if (now - sheddingLoggedAt < 10 * aimMicros) return;
         sheddingLoggedAt = now;
         actions.log("holding: " + held.size() + " requests wait, no server has room");
     }
 
+    /**
+     * A zone is full and the others have no server to offer: whoever waits would be late, and make others
+     * late. Answered at once its client can still ask again.
+     */
+    private boolean crowdedOut() {
+        for (ZoneLimit zone : zoneLimits) if (zone.full()) return true;
+        return false;
+    }
+
     private void waitOn(long now, Pending p) {
         later(Math.max(now + 1, Math.min(lastUseful(p), now + (long) (aimMicros * HELD_LOOK))), HELD, p);
     }
@@ -839,7 +847,7 @@
             case SERVED -> {
                 report(now, b, o.report(), true);
                 answered(now, a, o.elapsedMicros());
-                zoneLimit(b).answered(o.elapsedMicros() / a.of.rules.aimMicros());
+                zoneLimit(b).answered(o.elapsedMicros() / (double) Math.max(1, a.of.rules.aimMicros()));
                 double x = o.elapsedMicros() / (1 + a.load);
                 double factor = a.usual / usualMicros[c];
                 usualMicros[c] += USUAL_WEIGHT * (Math.min(x / factor, 4 * usualMicros[c]) - usualMicros[c]);
@@ -880,8 +888,11 @@
                 if (o.result() == Result.TIMED_OUT) zoneLimit(b).crowded();
                 if (o.result() == Result.TIMED_OUT && !a.suspected) suspect(now, a, false);
                 if (known(now, b) * a.usual > LIMIT_TARGET * a.of.rules.aimMicros()) crowded();
-                if (a.idle > aimMicros / 4 || a.suspected && b.usedAt > b.suspectedAt) return;
-                if (o.result() == Result.ERROR) faulty(now, b, c);
+                // Where sidecars are many, most connections have been idle: what such a one did not bring may
+                // be its own fault, but an error is the server's word.
+                boolean word = o.result() == Result.ERROR;
+                if (!word && (a.idle > aimMicros / 4 || a.suspected && b.usedAt > b.suspectedAt)) return;
+                if (word) faulty(now, b, c);
                 sample(now, b, Math.max(o.elapsedMicros(), aimMicros) / a.usual);
                 if (b.openUntil != 0 || ++b.failures >= FAILURES) eject(now, b, o.result().toString());
             }
@@ -1082,7 +1093,7 @@
             if (p.looks < MAX_LOOKS && choose(now, p) == null && look(now, p)) {
                 later(now + lookMicros(), LOOK, p);
             } else admit(now, p);
-        } else if (p.queued && now >= lastUseful(p)) {
+        } else if (p.queued && (now >= lastUseful(p) || crowdedOut())) {
             end(now, p);
         } else if (p.queued) {
             look(now, p);
--- a/src/test/java/larkbank/CrowdTest.java
+++ b/src/test/java/larkbank/CrowdTest.java
@@ -119,6 +119,50 @@
                 + r.sent.stream().filter(s -> s.request().startsWith("at once")).count(), "none is held");
     }
 
+    /** The part of the aim was taken in whole numbers, so only what was past all of it counted as slow. */
+    @Test
+    void answersPastHalfOfTheirAimFromABusyZoneShrinkItsLimit() {
+        open();
+        Recorder r = fleet.get(0);
+        LoadReport busy = new LoadReport(Double.NaN, Double.NaN, 0.95, 40, 25, 0);
+        for (int i = 0; i < 60; i++) {
+            r.request("a" + i);
+            Recorder.Sent last = r.sent.get(r.sent.size() - 1);
+            r.now += AIM * 6 / 10;
+            r.choice.outcome(r.now, new Outcome(last.request(), 0, last.server(), Result.SERVED, AIM * 6 / 10,
+                    true, busy));
+        }
+        for (int i = 0; i < 40; i++) {
+            r.request("b" + i);
+        }
+        assertTrue(r.refused.size() > 10, "refused " + r.refused.size());
+    }
+
+    /** Each sidecar sends a server little, on a connection long idle: an error there counts too. */
+    @Test
+    void errorsOfAServerSeldomSentToTurnItsTrafficAway() {
+        open();
+        Recorder r = fleet.get(0);
+        int before = 0;
+        for (int i = 0; i < 3000; i++) {
+            r.now += 20_000;
+            int sent = r.sent.size();
+            r.request("r" + i);
+            Recorder.Sent last = r.sent.get(r.sent.size() - 1);
+            assertEquals(sent + 1, r.sent.size());
+            boolean bad = last.server() == 1;
+            before += bad && i >= 1000 ? 1 : 0;
+            r.choice.outcome(r.now, new Outcome(last.request(), 0, last.server(),
+                    bad && i >= 1000 ? Result.ERROR : Result.SERVED, 1000, !bad || i < 1000, null));
+            if (bad && i >= 1000 && r.sent.size() > sent + 1) {
+                Recorder.Sent again = r.sent.get(r.sent.size() - 1);
+                r.choice.outcome(r.now, new Outcome(again.request(), 1, again.server(), Result.SERVED, 1000,
+                        true, null));
+            }
+        }
+        assertTrue(before > 0 && before < 30, "errors met: " + before);
+    }
+
     /** A fleet at two thirds of its capacity is not crowded, however its answers are spread. */
     @Test
     void aFleetWithRoomRefusesNothing() {
