--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -90,10 +90,11 @@
      * request written to such a connection is lost: the pool closes well before. And each request in hand
      * keeps a client's connection busy, of which clients have a third of the descriptors at most: where all
      * are busy their next requests are lost whatever they are worth, so a part stays free for the next ones.
+     * On sockets a refusal may always say when to come back: the setting speaks of the simulator's wire.
      */
     private static Settings within(Settings s, int sockets) {
         Limits l = s.limits();
-        Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), l.retryAdvice(),
+        Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), true,
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
                 Math.min(l.open(), sockets / 3 / 8 * 7));
         return new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(), s.tenants(),
