--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -58,22 +58,19 @@
     private static final double HEADROOM = 2;
     /** Requests that a tenant may be ahead of its share before it counts as beyond. */
     private static final double SHARE_SLACK = 5;
-    /** Result that may be spent on probes; probes at once, and rounds of them before a pick. */
-    private static final double PROBE_SPEND = 0.012;
-    private static final int LOOK_WIDTH = 3, MAX_LOOKS = 4;
     /** Part of its time for which a request is held at most before a server has it. */
     private static final double HOLD = 0.45;
-    /** Parts of an aim: for which a report is fresh; after which a held request is looked at again. */
-    private static final double FRESH = 0.05, HELD_LOOK = 0.125;
+    /** Part of an aim after which a held request is looked at again. */
+    private static final double HELD_LOOK = 0.125;
     /** List lines that discovery is taken to send all instances in the time within which each must ask. */
     private static final double LIST_LINES = 8000;
     /** Kinds of timer, in the low bits of their tokens. */
-    private static final int HELD = 0, LOOK = 1, ASK = 2, TIMER_KINDS = 4;
+    private static final int HELD = 0, ASK = 1, TIMER_KINDS = 2;
 
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
-    private final double aimMicros, totalShare, rateSpan, probesPerRequest;
+    private final double aimMicros, totalShare, rateSpan;
     private final boolean anySafe;
 
     private final Map<Long, Backend> backends = new LinkedHashMap<>();
@@ -100,7 +97,7 @@
     private final ArrayDeque<long[]> extras = new ArrayDeque<>();
     private final Set<Attempt> outstanding = new LinkedHashSet<>();
     private double meanUse = Double.NaN, meanOthers = Double.NaN, admitted = 1;
-    private double rate, probeTokens, probeMicros, setupMicros;
+    private double rate, setupMicros;
     private long startedAt, rateAt, setupAt, distrustedAt, idleTrust = Long.MAX_VALUE, sheddingLoggedAt;
 
     private int home, ejected, askFailures;
@@ -121,7 +118,7 @@
         /** Ejected while above 0: no request before that time, then one trial. */
         long openUntil;
         double limit = FIRST_LIMIT;
-        long cutAt, pausedUntil, restUntil, reportedAt, probedAt, suspectedAt;
+        long cutAt, pausedUntil, restUntil, reportedAt, suspectedAt;
         double othersInFlight = Double.NaN, use = Double.NaN;
         /** When its connection was last known to work, 0 if never; when a new one may be tried. */
         long usedAt, connectAt, returnedAt;
@@ -169,7 +166,7 @@
         RequestClass rules;
         long arrivedAt, aimAt, luck;
         boolean over, streaming, queued, beyondShare;
-        int requestClass, tenant, cell, out, looks;
+        int requestClass, tenant, cell, out;
         final List<Attempt> attempts = new ArrayList<>(2);
     }
 
@@ -199,8 +196,6 @@
         tenantCredit = new double[Math.max(1, settings.tenants().size())];
         Arrays.fill(tenantCredit, SHARE_SLACK);
         rateSpan = 2.0 * Math.max(1, settings.rules().fallMicros());
-        boolean probing = settings.limits().probing() && settings.reports() == ReportSource.PROBES;
-        probesPerRequest = !probing ? 0 : Math.min(4, PROBE_SPEND / Math.max(settings.probePrice(), 1e-6));
     }
 
     // ---- Lists and the subset tree
@@ -373,15 +368,13 @@
         if (requests.size() > settings.limits().open()) makeRoom(now, p);
         if (p.over) return;
         if (request.deadlineMicros() - now <= aimMicros / 20 + 2 * settings.tickMicros()) {
-            // No time is left for a look or a timer (incident i0f9bed: an arrival at its own deadline).
+            // No time is left for a timer (incident i0f9bed: an arrival at its own deadline).
             end(now, p);
-        } else if (sparse && probesPerRequest == 0 && random.nextDouble()
+        } else if (sparse && random.nextDouble()
                 >= Math.pow(admitted, p.beyondShare ? 1 / settings.overShareWorth() : 1)) {
             // Admission control: a quiet sidecar sees no queue, only that answers come late; refused early,
             // and what is beyond a tenant's share first. It may refuse what a better server could serve.
             end(now, p);
-        } else if (look(now, p)) {
-            later(now + lookMicros(), LOOK, p);
         } else admit(now, p);
     }
 
@@ -399,10 +392,6 @@
         return p.rules.worth() * (p.beyondShare ? settings.overShareWorth() : 1);
     }
 
-    private long lookMicros() {
-        return (long) Math.min(probeMicros * 1.5 + settings.tickMicros(), aimMicros * FRESH);
-    }
-
     /** Where servers remember keys, the key takes the place of chance in the pick. */
     private boolean byKey(Pending p) {
         return settings.warmKeys() && p.request.key() >= 0;
@@ -419,26 +408,6 @@
         tenantCredit[p.tenant] = Math.max(-SHARE_SLACK, tenantCredit[p.tenant] - 1);
     }
 
-    /** Where only probes tell the load, look before the leap: hold the request for one usual probe time. */
-    private boolean look(long now, Pending p) {
-        if (probesPerRequest == 0 || ready.isEmpty()) return false;
-        if (p.looks++ == 0) probeTokens = Math.min(4 * probesPerRequest, probeTokens + probesPerRequest);
-        int asked = 0;
-        for (List<Backend> node : path(p)) {
-            for (Backend b : node) {
-                if (asked >= LOOK_WIDTH || probeTokens < 1) break;
-                boolean stale = b.probedAt == 0 || now - b.probedAt > aimMicros * FRESH;
-                if (stale && connectable(now, p, b) && b.openUntil == 0 && now >= b.pausedUntil) {
-                    probeTokens--;
-                    b.probedAt = now;
-                    actions.probe(b.id);
-                    asked++;
-                }
-            }
-        }
-        return asked > 0;
-    }
-
     private List<List<Backend>> path(Pending p) {
         int cell = p.cell % cellNodes.size();
         return List.of(zoneCellNodes.get(home).get(cell), cellNodes.get(cell), zoneNodes.get(home), ready);
@@ -845,7 +814,7 @@
         int c = a.of.requestClass;
         switch (o.result()) {
             case SERVED -> {
-                report(now, b, o.report(), true);
+                report(now, b, o.report());
                 answered(now, a, o.elapsedMicros());
                 zoneLimit(b).answered(o.elapsedMicros() / (double) Math.max(1, a.of.rules.aimMicros()));
                 double x = o.elapsedMicros() / (1 + a.load);
@@ -1009,14 +978,14 @@
         }
     }
 
-    private void report(long now, Backend b, LoadReport report, boolean answer) {
+    private void report(long now, Backend b, LoadReport report) {
         if (report != null && !Double.isNaN(report.inFlight())) {
             b.othersInFlight = Math.max(0, report.inFlight() - b.out.size());
             meanOthers = Double.isNaN(meanOthers) ? b.othersInFlight
                     : meanOthers + USUAL_WEIGHT * (b.othersInFlight - meanOthers);
             b.reportedAt = now;
         }
-        if (!answer || settings.reports() != ReportSource.ANSWERS) return;
+        if (settings.reports() != ReportSource.ANSWERS) return;
         if (report != null && !Double.isNaN(report.utilization())) {
             b.use = report.utilization();
             zoneLimit(b).reported(b.use);
@@ -1047,17 +1016,6 @@
         b.openUntil = 0;
     }
 
-    @Override
-    public void probed(long now, long server, Result result, long elapsedMicros, LoadReport report) {
-        Backend b = backends.get(server);
-        if (b == null || b.line == null) return;
-        if (result == Result.SERVED) {
-            probeMicros += POOL_WEIGHT * (Math.min(elapsedMicros, aimMicros / 10) - probeMicros);
-            report(now, b, report, false);
-        }
-        pump(now);
-    }
-
     // ---- Other events
 
     @Override
@@ -1089,14 +1047,9 @@
         if (kind == ASK) actions.subscribe();
         Pending p = timers.remove(token);
         if (p == null || p.over || p.streaming) return;
-        if (kind == LOOK) {
-            if (p.looks < MAX_LOOKS && choose(now, p) == null && look(now, p)) {
-                later(now + lookMicros(), LOOK, p);
-            } else admit(now, p);
-        } else if (p.queued && (now >= lastUseful(p) || crowdedOut())) {
+        if (p.queued && (now >= lastUseful(p) || crowdedOut())) {
             end(now, p);
         } else if (p.queued) {
-            look(now, p);
             waitOn(now, p);
             pump(now);
         }
--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -15,7 +15,7 @@
     enum Group { ALL, ZONE, CELL }
 
     /** Where load reports come from. */
-    enum ReportSource { NONE, ANSWERS, PROBES }
+    enum ReportSource { NONE, ANSWERS }
 
     /** What discovery says of a server. */
     enum Phase { READY, DRAINING, REMOVED }
@@ -23,7 +23,7 @@
     /** Kinds of list: changes to the last one, a complete one, the one kept on disk, or a failed call. */
     enum ListKind { CHANGES, COMPLETE, CACHED, FAILED }
 
-    /** How an attempt or a probe ended, and whether that proves that the request never ran. */
+    /** How an attempt ended, and whether that proves that the request never ran. */
     enum Result {
         SERVED(false), ERROR(false), FULL(true), TIMED_OUT(false), NO_CONNECTION(true), BROKEN(false),
         CANCELLED(false), NOT_SENT(true);
@@ -54,8 +54,8 @@
     }
 
     /** What the site allows; open is how many requests an instance may have in hand. */
-    record Limits(int attempts, boolean cancelling, boolean probing,
-            boolean retryAdvice, long maxRetryAdviceMicros, long idleMicros, int open) { }
+    record Limits(int attempts, boolean cancelling, boolean retryAdvice, long maxRetryAdviceMicros,
+            long idleMicros, int open) { }
 
     /**
      * Figures of the rules on drains, on cold servers and on further attempts: within the look-back at most
@@ -71,14 +71,13 @@
         }
     }
 
-    /** Everything that an instance is handed at its start; the probe price is a fraction of the result. */
+    /** Everything that an instance is handed at its start. */
     record Settings(long seed, int rank, int replicas, int zone, List<String> zones,
-            List<RequestClass> classes, List<Tenant> tenants, double overShareWorth, double probePrice,
-            Limits limits, Rules rules, ReportSource reports, boolean discoveryOnAsk, boolean warmKeys,
-            long tickMicros) {
+            List<RequestClass> classes, List<Tenant> tenants, double overShareWorth, Limits limits,
+            Rules rules, ReportSource reports, boolean discoveryOnAsk, boolean warmKeys, long tickMicros) {
         public Settings {
             require(!classes.isEmpty(), "there are no request classes");
-            require(probePrice >= 0 && overShareWorth >= 0, "a price or worth is negative");
+            require(overShareWorth >= 0, "a worth is negative");
             require(tickMicros >= 0, "the tick is negative");
         }
     }
@@ -115,8 +114,6 @@
         /** Asks for {@link LoadBalancer#timer} at that time; a timer can't be taken back. */
         void timer(long atMicros, long token);
 
-        void probe(long server);
-
         /** Closes this instance's idle connections to a server. */
         void closeIdle(long server);
 
@@ -140,6 +137,4 @@
     void clientLeft(long nowMicros, String requestId);
 
     void timer(long nowMicros, long token);
-
-    void probed(long nowMicros, long server, Result result, long elapsedMicros, LoadReport report);
 }
--- a/src/main/java/larkbank/SettingsReader.java
+++ b/src/main/java/larkbank/SettingsReader.java
@@ -30,17 +30,13 @@
         }
         Map<?, ?> limits = Json.object(f, "policy_limits");
         Map<?, ?> rules = Json.object(f, "rules");
-        ReportSource reports = switch (String.valueOf(Json.object(f, "report").get("source"))) {
-            case "answers" -> ReportSource.ANSWERS;
-            case "probe" -> ReportSource.PROBES;
-            default -> ReportSource.NONE;
-        };
+        ReportSource reports = "answers".equals(Json.object(f, "report").get("source"))
+                ? ReportSource.ANSWERS : ReportSource.NONE;
         return new Settings(seed, (int) Json.whole(f, "rank", 0), (int) Json.whole(f, "replicas_of_me", 1),
                 (int) Json.whole(f, "zone", 0), names(f, "zones"), classes, tenants,
-                Json.real(f, "over_share_worth", 1), Json.real(Json.object(f, "charges"), "probe", 0),
+                Json.real(f, "over_share_worth", 1),
                 new Limits((int) Json.whole(limits, "attempts_cap", 1), Json.flag(limits, "cancelling"),
-                        Json.flag(limits, "probing"), Json.flag(limits, "retry_after"),
-                        Json.whole(limits, "max_retry_after_us", 0),
+                        Json.flag(limits, "retry_after"), Json.whole(limits, "max_retry_after_us", 0),
                         Json.whole(limits, "conn_idle_us", Long.MAX_VALUE),
                         (int) Json.whole(limits, "open_cap", Integer.MAX_VALUE)),
                 new Rules(Json.real(rules, "cold_from", 1), Json.whole(rules, "cold_us", 0),
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -58,7 +58,7 @@
     Config with(int otherSockets, ServerList servers) {
         Settings s = settings;
         Settings pushed = new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(),
-                s.tenants(), s.overShareWorth(), s.probePrice(), s.limits(), s.rules(), s.reports(), false,
+                s.tenants(), s.overShareWorth(), s.limits(), s.rules(), s.reports(), false,
                 s.warmKeys(), s.tickMicros());
         return new Config(name, listen, discovery, otherSockets, pushed, connectMicros, drainGraceMicros,
                 servers, lists);
@@ -94,11 +94,11 @@
      */
     private static Settings within(Settings s, int sockets) {
         Limits l = s.limits();
-        Limits kept = new Limits(l.attempts(), l.cancelling(), l.probing(), true,
+        Limits kept = new Limits(l.attempts(), l.cancelling(), true,
                 l.maxRetryAdviceMicros(), l.idleMicros() / 3 * 2,
                 Math.min(l.open(), sockets / 3 / 8 * 7));
         return new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(), s.tenants(),
-                s.overShareWorth(), s.probePrice(), kept, s.rules(), s.reports(), s.discoveryOnAsk(),
+                s.overShareWorth(), kept, s.rules(), s.reports(), s.discoveryOnAsk(),
                 s.warmKeys(), s.tickMicros());
     }
 
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -343,10 +343,6 @@
                 Math.max(0, atMicros - clock.micros()), TimeUnit.MICROSECONDS);
     }
 
-    /** Sidecars may not probe; the module only asks where the settings allow it. */
-    @Override
-    public void probe(long server) { }
-
     @Override
     public void closeIdle(long server) {
         pool.closeIdle(server);
