--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -98,6 +98,8 @@
     private final Set<Attempt> outstanding = new LinkedHashSet<>();
     private double meanUse = Double.NaN, meanOthers = Double.NaN, admitted = 1;
     private double rate, setupMicros;
+    /** Buffers of the requests in hand that stream, and the bound on them. */
+    private long buffered, mostBuffered = Long.MAX_VALUE;
     private long startedAt, rateAt, setupAt, distrustedAt, idleTrust = Long.MAX_VALUE, sheddingLoggedAt;
 
     private int home, ejected, askFailures;
@@ -144,7 +146,8 @@
         final long sentAt, idle;
         final double usual, load, expected;
         final boolean fresh;
-        boolean suspected;
+        /** Its answer has begun, and with it all has been learnt that its time tells. */
+        boolean suspected, streams;
         Result result;
 
         Attempt(Pending of, Backend server, long now, double usual, double load, boolean warm) {
@@ -164,7 +167,9 @@
     private static final class Pending {
         Request request;
         RequestClass rules;
-        long arrivedAt, aimAt, luck;
+        long arrivedAt, aimAt, deadline, luck;
+        /** A body that is still coming; one that can't be sent again. */
+        boolean uploading, spent;
         boolean over, streaming, queued, beyondShare;
         int requestClass, tenant, cell, out;
         final List<Attempt> attempts = new ArrayList<>(2);
@@ -349,8 +354,11 @@
         p.rules = settings.classes().get(p.requestClass);
         p.tenant = Math.min(Math.max(0, request.tenant()), tenantCredit.length - 1);
         p.arrivedAt = now;
+        p.deadline = request.deadlineMicros();
+        p.uploading = request.upload();
         p.aimAt = now + p.rules.aimMicros() + (long) (p.rules.aimStretch() * request.hintMicros());
         if (requests.putIfAbsent(request.id(), p) != null) return;
+        buffered += request.bufferBytes();
         if (request.hintMicros() > 0) {
             usualHint += usualHint == 0 ? request.hintMicros()
                     : USUAL_WEIGHT * (request.hintMicros() - usualHint);
@@ -367,7 +375,10 @@
         watch(now);
         if (requests.size() > settings.limits().open()) makeRoom(now, p);
         if (p.over) return;
-        if (request.deadlineMicros() - now <= aimMicros / 20 + 2 * settings.tickMicros()) {
+        if (request.bufferBytes() > 0 && buffered > mostBuffered) {
+            // Those that stream already go on; a new one is told at once when to come back.
+            end(now, p);
+        } else if (request.deadlineMicros() - now <= aimMicros / 20 + 2 * settings.tickMicros()) {
             // No time is left for a timer (incident i0f9bed: an arrival at its own deadline).
             end(now, p);
         } else if (sparse && random.nextDouble()
@@ -450,9 +461,9 @@
      * time.
      */
     private long lastUseful(Pending p) {
-        long end = p.request.deadlineMicros() - 2 * settings.tickMicros();
+        long end = p.deadline - 2 * settings.tickMicros();
         if (mayHaveRun(p) == null && requests.size() > settings.limits().open() / 2) {
-            end = Math.min(end, p.arrivedAt + (long) (HOLD * (p.request.deadlineMicros() - p.arrivedAt)));
+            end = Math.min(end, p.arrivedAt + (long) (HOLD * (p.deadline - p.arrivedAt)));
         }
         if (p.rules.lateShare() == 0) end = Math.min(end, p.aimAt - (long) usual(p));
         return end;
@@ -709,9 +720,9 @@
 
     /** The single place of sending. The checks repeat what the pick has seen, so no path can pass them by. */
     private void send(long now, Pending p, Backend b) {
-        long left = p.request.deadlineMicros() - now;
+        long left = p.deadline - now;
 
-        if (p.over || p.streaming || !b.usable || p.out > 0 || !mayRunOn(now, p, b) || left <= 0
+        if (p.over || p.streaming || p.spent || !b.usable || p.out > 0 || !mayRunOn(now, p, b) || left <= 0
                 || p.attempts.size() >= Math.max(1, settings.limits().attempts())
                 || !p.attempts.isEmpty() && !extraAllowed(now)) {
             if (!p.over && p.out == 0) end(now, p);
@@ -728,7 +739,8 @@
             retryTokens--;
             if (settings.rules().lookBackMicros() > 0) extras.addLast(new long[] {now, taken});
         }
-        outstanding.add(a);
+        // A server owes nothing before a body's last byte, so while that comes its silence tells nothing.
+        if (!p.uploading) outstanding.add(a);
         p.attempts.add(a);
         p.out++;
         b.out.addLast(a);
@@ -776,7 +788,7 @@
 
     /** A request is kept until the last of its attempts has ended. */
     private void forget(Pending p) {
-        if (p.over && p.out == 0) requests.remove(p.request.id());
+        if (p.over && p.out == 0 && requests.remove(p.request.id(), p)) buffered -= p.request.bufferBytes();
     }
 
     // ---- What comes back
@@ -789,11 +801,11 @@
         if (a.result != null) return;
         a.result = o.result();
         p.out--;
-        zoneLimit(a.server).ended();
-        a.server.out.remove(a);
-        outstanding.remove(a);
-        if (a.suspected) a.server.suspects--;
-        learn(now, a, o);
+        if (a.streams) streamed(now, a, o);
+        else {
+            settled(a);
+            learn(now, a, o);
+        }
         if (o.closed()) {
             over(p);
         } else if (!p.over && p.out == 0 && !p.queued) again(now, p);
@@ -801,9 +813,17 @@
         pump(now);
     }
 
-    /** A further attempt, if effect, cap, retry budget and the time left allow it; else the end. */
+    /** It no longer waits for an answer. */
+    private void settled(Attempt a) {
+        zoneLimit(a.server).ended();
+        a.server.out.remove(a);
+        outstanding.remove(a);
+        if (a.suspected) a.server.suspects--;
+    }
+
+    /** A further attempt, if effect, cap, retry budget, body and the time left allow it; else the end. */
     private void again(long now, Pending p) {
-        boolean sensible = now < lastUseful(p) && p.attempts.size() < settings.limits().attempts()
+        boolean sensible = !p.spent && now < lastUseful(p) && p.attempts.size() < settings.limits().attempts()
                 && (mayRefuse(p) || p.rules.effect() == Effect.KEYED);
         if (sensible && extraAllowed(now)) admit(now, p);
         else end(now, p);
@@ -815,18 +835,7 @@
         switch (o.result()) {
             case SERVED -> {
                 report(now, b, o.report());
-                answered(now, a, o.elapsedMicros());
-                zoneLimit(b).answered(o.elapsedMicros() / (double) Math.max(1, a.of.rules.aimMicros()));
-                double x = o.elapsedMicros() / (1 + a.load);
-                double factor = a.usual / usualMicros[c];
-                usualMicros[c] += USUAL_WEIGHT * (Math.min(x / factor, 4 * usualMicros[c]) - usualMicros[c]);
-                // A slow set-up says nothing of the server.
-                if (a.fresh && sparse && x > HANGING * a.usual) return;
-                sample(now, b, x / a.usual);
-                b.pace += 5 * USUAL_WEIGHT * (Math.min(x / a.usual, 4) - b.pace);
-                kindPace = pool(kindPace, b.line.kind(), x / a.usual);
-                zonePace = pool(zonePace, b.line.zone(), x / a.usual);
-                limit(now, a, o.elapsedMicros() / factor);
+                served(now, a, o.elapsedMicros());
             }
             case FULL -> {
                 // Full is busy, not sick: shrink the limit and stay away for one usual answer.
@@ -868,6 +877,39 @@
         }
     }
 
+    /** What the time of an answer tells, or that of the beginning of a streamed one. */
+    private void served(long now, Attempt a, long elapsed) {
+        Backend b = a.server;
+        int c = a.of.requestClass;
+        answered(now, a, elapsed);
+        zoneLimit(b).answered(elapsed / (double) Math.max(1, a.of.rules.aimMicros()));
+        double x = elapsed / (1 + a.load);
+        double factor = a.usual / usualMicros[c];
+        usualMicros[c] += USUAL_WEIGHT * (Math.min(x / factor, 4 * usualMicros[c]) - usualMicros[c]);
+        // A slow set-up says nothing of the server.
+        if (a.fresh && sparse && x > HANGING * a.usual) return;
+        sample(now, b, x / a.usual);
+        b.pace += 5 * USUAL_WEIGHT * (Math.min(x / a.usual, 4) - b.pace);
+        kindPace = pool(kindPace, b.line.kind(), x / a.usual);
+        zonePace = pool(zonePace, b.line.zone(), x / a.usual);
+        limit(now, a, elapsed / factor);
+    }
+
+    /**
+     * The end of a streamed answer. Its length in time is its reader's or its own; that it broke is a failed
+     * attempt of the server, as slow as an aim, unless it was called off.
+     */
+    private void streamed(long now, Attempt a, Outcome o) {
+        Backend b = a.server;
+        if (o.result() == Result.SERVED) {
+            b.usedAt = now;
+            report(now, b, o.report());
+        } else if (o.result() != Result.CANCELLED) {
+            sample(now, b, aimMicros / a.usual);
+            if (b.openUntil != 0 || ++b.failures >= FAILURES) eject(now, b, "streams end as " + o.result());
+        }
+    }
+
     /** An answer clears the server, its connection and the class. */
     private void answered(long now, Attempt a, long elapsed) {
         Backend b = a.server;
@@ -1018,15 +1060,38 @@
 
     // ---- Other events
 
+    @Override
+    public void buffers(long now, long mostBytes) {
+        mostBuffered = mostBytes;
+    }
+
+    @Override
+    public void uploaded(long now, String requestId, long deadlineMicros) {
+        Pending p = requests.get(requestId);
+        if (p == null || !p.uploading) return;
+        p.uploading = false;
+        p.deadline = deadlineMicros;
+        p.aimAt += now - p.arrivedAt;
+        p.arrivedAt = now;
+    }
+
+    @Override
+    public void replayLost(long now, String requestId) {
+        Pending p = requests.get(requestId);
+        if (p != null) p.spent = true;
+    }
+
     @Override
     public void streamBegan(long now, String requestId, int attempt, long server, long elapsedMicros) {
         Pending p = requests.get(requestId);
         if (p == null || p.streaming || attempt < 0 || attempt >= p.attempts.size()) return;
+        Attempt a = p.attempts.get(attempt);
+        if (a.result != null) return;
         p.streaming = true;
-        Attempt began = p.attempts.get(attempt);
-        sample(now, began.server, elapsedMicros / began.usual);
-        began.server.out.remove(began);
-
+        a.streams = true;
+        settled(a);
+        served(now, a, elapsedMicros);
+        pump(now);
     }
 
     @Override
--- a/src/main/java/larkbank/Json.java
+++ b/src/main/java/larkbank/Json.java
@@ -50,7 +50,9 @@
                 yield array;
             }
             case VALUE_STRING -> parser.getText();
-            case VALUE_NUMBER_INT -> parser.getNumberValue().longValue();
+            // Past 64 bits it is not cut to another number but kept as a real one.
+            case VALUE_NUMBER_INT -> parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                    ? (Object) parser.getDoubleValue() : (Object) parser.getLongValue();
             case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
             case VALUE_TRUE -> Boolean.TRUE;
             case VALUE_FALSE -> Boolean.FALSE;
--- a/src/main/java/larkbank/LoadBalancer.java
+++ b/src/main/java/larkbank/LoadBalancer.java
@@ -89,15 +89,28 @@
     /** A line of a server list. A start time of 0 means long ago. */
     record Server(long id, int zone, int kind, int cell, Phase phase, long startMicros, double weight) { }
 
-    /** A request. A key below 0 or a hint of 0 means that there is none. */
+    /**
+     * A request. A key below 0 or a hint of 0 means that there is none. Of an upload only the head has come:
+     * its body passes through as it arrives. The buffer is what a request that streams may hold of the
+     * process's memory for buffers until nothing of it is left; one that is passed on whole has none.
+     */
     record Request(String id, int requestClass, int tenant, boolean repeat, long key, long deadlineMicros,
-            long hintMicros, boolean write) { }
+            long hintMicros, boolean write, boolean upload, long bufferBytes) {
+
+        public Request(String id, int requestClass, int tenant, boolean repeat, long key, long deadlineMicros,
+                long hintMicros, boolean write) {
+            this(id, requestClass, tenant, repeat, key, deadlineMicros, hintMicros, write, false, 0);
+        }
+    }
 
     /** A server's own word on its load; NaN where it says nothing. */
     record LoadReport(double inFlight, double queue, double utilization, double latencyMillis, double rate,
             double errorRate) { }
 
-    /** How one attempt ended; closed tells that the client has its final answer. The report may be null. */
+    /**
+     * How one attempt ended; closed tells that the client has its final answer, or all of it that will ever
+     * come. The time is that from its sending, of an upload that from its last byte. The report may be null.
+     */
     record Outcome(String requestId, int attempt, long server, Result result, long elapsedMicros,
             boolean closed, LoadReport report) { }
 
@@ -128,6 +141,15 @@
 
     void request(long nowMicros, Request request);
 
+    /** Bound on the buffers of all requests that stream, from now on; at first there is none. */
+    void buffers(long nowMicros, long mostBytes);
+
+    /** The body of an upload has come whole; its client's time runs from here, until that deadline. */
+    void uploaded(long nowMicros, String requestId, long deadlineMicros);
+
+    /** More of an upload's body has been sent on than is kept: it can't be sent to another server. */
+    void replayLost(long nowMicros, String requestId);
+
     /** The answer of a streamed class has begun: the attempt is the client's now. */
     void streamBegan(long nowMicros, String requestId, int attempt, long server, long elapsedMicros);
 
--- /dev/null
+++ b/src/main/java/larkbank/Section.java
@@ -0,0 +1,65 @@
+package larkbank;
+
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One section of the file of extensions, read strictly: unlike the platform's settings it is written by
+ * hand, so a name that nothing reads is a mistake and not a newer figure. Each {@link
+ * IllegalArgumentException} is one plain line that names the place.
+ */
+public final class Section {
+
+    private final String path;
+    private final Map<?, ?> values;
+    private final Set<String> read = new LinkedHashSet<>();
+
+    public Section(String path, Map<?, ?> values) {
+        this.path = path;
+        this.values = values;
+    }
+
+    /** A whole number between two bounds, or another where it is not given. */
+    public long whole(String name, long otherwise, long least, long most) {
+        read.add(name);
+        if (!values.containsKey(name)) {
+            return otherwise;
+        }
+        if (values.get(name) instanceof Long n && n >= least && n <= most) {
+            return n;
+        }
+        throw wrong(name, "must be a whole number from " + least + " to " + most);
+    }
+
+    /** The names of an object's entries, in the order of the file. */
+    public Set<String> names() {
+        Set<String> names = new LinkedHashSet<>();
+        values.keySet().forEach(k -> names.add(String.valueOf(k)));
+        return names;
+    }
+
+    /** An object; an empty one where it is not given. */
+    public Section section(String name) {
+        read.add(name);
+        Object value = values.containsKey(name) ? values.get(name) : Map.of();
+        if (value instanceof Map<?, ?> m) {
+            return new Section(path + "." + name, m);
+        }
+        throw wrong(name, "must be an object");
+    }
+
+    /** What is wrong with a value, for the owner of the section. */
+    public IllegalArgumentException wrong(String name, String why) {
+        return new IllegalArgumentException(path + "." + name + ": " + why);
+    }
+
+    /** To be called when all has been read that means something. */
+    public void end() {
+        for (String name : names()) {
+            if (!read.contains(name)) {
+                throw wrong(name, "unknown name");
+            }
+        }
+    }
+}
--- a/src/main/java/larkbank/sidecar/Call.java
+++ b/src/main/java/larkbank/sidecar/Call.java
@@ -7,8 +7,12 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
+import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Request;
 import larkbank.LoadBalancer.Result;
+import larkbank.streaming.Flow;
+import larkbank.streaming.Streaming;
+import larkbank.streaming.Upload;
 
 /** A client's request, from its last byte until it is answered and its attempts have ended. */
 final class Call {
@@ -17,6 +21,25 @@
     interface Client {
         /** Takes the content over. */
         void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content);
+
+        /** An answer of status 200 begins; a length below 0 is not known yet. */
+        default void begin(HttpHeaders headers, long length, Streaming bounds, Flow.Source source) {
+            throw new UnsupportedOperationException();
+        }
+
+        /** Takes the part over. */
+        default void part(ByteBuf part) {
+            part.release();
+        }
+
+        /** What came in one go has come. */
+        default void flush() { }
+
+        /** The last part has come; told once the client has taken all. */
+        default void end(HttpHeaders trailers, Runnable taken) { }
+
+        /** Ends an answer that has begun so that the client can tell that it is not whole. */
+        default void breakOff() { }
     }
 
     final Request request;
@@ -24,16 +47,32 @@
     final String uri;
     final HttpHeaders headers;
     final byte[] body;
+    /** The body where it passes through as it arrives, else null. */
+    final Upload upload;
+    /** Largest answer that passes through as it arrives; 0 where it is collected. */
+    final long mostStreamed;
     final Client client;
     final List<Attempt> attempts = new ArrayList<>(2);
     /** Attempts that have not ended. */
     int out;
     /** Nothing is owed any more: it has its one answer, or the client has left. */
     boolean over;
+    /** How a server failed the body before it had come whole, in its own words. */
+    Refusal refusal;
+    /** The one whose answer has begun to pass through. */
+    Attempt streaming;
+    /** The server's word on its load that came with it. */
+    LoadReport report;
+    /** Until when the client waits; of an upload it is moved when the last byte has come. */
+    long deadlineMicros;
     Future<?> expiry;
 
-    Call(Request request, HttpMethod method, String uri, HttpHeaders headers, byte[] body, Client client) {
+    Call(Request request, HttpMethod method, String uri, HttpHeaders headers, byte[] body, Upload upload,
+            long mostStreamed, Client client) {
         this.request = request;
+        deadlineMicros = request.deadlineMicros();
+        this.upload = upload;
+        this.mostStreamed = mostStreamed;
         this.method = method;
         this.uri = uri;
         this.headers = headers;
@@ -41,13 +80,19 @@
         this.client = client;
     }
 
+    /** A server's answer to a body that it does not want. */
+    record Refusal(HttpResponseStatus status, HttpHeaders headers, byte[] content) { }
+
     /** One sending of a request to a server. */
     static final class Attempt {
         final Call call;
         final int number;
         final long server;
-        final long sentAt;
-        final long giveUpAt;
+        /** From when its time counts: its sending, of an upload the last byte of it. */
+        long since;
+        long giveUpAt;
+        /** How long the module waits for it; 0 for as long as the client does. */
+        long patienceMicros;
         /** The last byte of the request has left, so from here on it may have run. */
         boolean written;
         Result result;
@@ -56,7 +101,7 @@
         Attempt(Call call, long server, long sentAt, long giveUpAt) {
             this.call = call;
             this.server = server;
-            this.sentAt = sentAt;
+            since = sentAt;
             this.giveUpAt = giveUpAt;
             number = call.attempts.size();
         }
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -15,18 +15,27 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -37,6 +46,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import larkbank.streaming.Flow;
+import larkbank.streaming.Streaming;
+import larkbank.streaming.Upload;
 
 /** The listening side: reads clients' requests, writes their answers, and closes down without losing any. */
 final class ClientServer {
@@ -49,6 +61,20 @@
         /** A request to be answered through its client, by an exception at the latest. */
         void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest;
 
+        /** Largest body of this request that passes through as it arrives; 0 where it is collected. */
+        default long uploads(HttpRequest head) {
+            return 0;
+        }
+
+        /** A request whose body passes through, from its head on. */
+        default void take(HttpRequest head, Upload upload, Call.Client client)
+                throws RequestReader.BadRequest {
+            throw new UnsupportedOperationException();
+        }
+
+        /** The server of this request takes or brings nothing any more. */
+        default void stalled(Call.Client client) { }
+
         /** The client of this request has closed its connection. */
         void left(Call.Client client);
     }
@@ -85,6 +111,8 @@
     private final ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
     private Channel listening;
     private boolean ending;
+    private long endedAt;
+    private Streaming streaming = Streaming.OFF;
     private long acceptedAt = System.nanoTime();
 
     ClientServer(EventLoop loop, Service service, int most, Consumer<String> log) {
@@ -104,6 +132,9 @@
                     @Override
                     protected void initChannel(Channel c) {
                         Connection connection = new Connection(c);
+                        if (streaming.isOn()) {
+                            c.config().setRecvByteBufAllocator(Link.smallReads());
+                        }
                         c.pipeline().addLast(new Gate(connection), connection.decoder,
                                 new HttpResponseEncoder(), new Whole(connection), connection);
                     }
@@ -113,6 +144,11 @@
         return bound;
     }
 
+    /** What streams from now on. */
+    void streams(Streaming next) {
+        streaming = next;
+    }
+
     /** Closes all at once, whoever waits; the address is free when that is done. */
     ChannelFuture close() {
         List.copyOf(connections).forEach(c -> c.channel.close());
@@ -133,6 +169,7 @@
             ended.run();
             return;
         }
+        endedAt = System.nanoTime();
         loop.schedule(() -> {
             ending = true;
             endQuiet(ended);
@@ -140,6 +177,9 @@
     }
 
     private void endQuiet(Runnable ended) {
+        if (millisSince(endedAt) >= streaming.drainMillis()) {
+            List.copyOf(connections).forEach(Connection::cutShort);
+        }
         List.copyOf(connections).stream()
                 .filter(c -> c.client == null && !c.writing && c.age() > QUIET_MILLIS)
                 .forEach(c -> c.channel.close());
@@ -246,15 +286,26 @@
         }
     }
 
-    /** Collects whole requests, and ends the connection after one that is too large. */
+    /**
+     * Collects whole requests, but for a body that passes through; ends the connection after one too large.
+     */
     private static final class Whole extends HttpObjectAggregator {
         private final Connection connection;
+        private boolean passing;
 
         Whole(Connection connection) {
             super(Link.MAX_BODY, true);
             this.connection = connection;
         }
 
+        @Override
+        public boolean acceptInboundMessage(Object message) throws Exception {
+            if (message instanceof HttpRequest head) {
+                passing = !(message instanceof FullHttpRequest) && connection.mostUploaded(head) > 0;
+            }
+            return !passing && super.acceptInboundMessage(message);
+        }
+
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
             connection.reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
@@ -265,13 +316,15 @@
      * A client's connection; it carries one request at a time. A request is taken once all that came with it
      * has been read: bytes behind it mean that its end is not where it says, or that it is not alone.
      */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final Decoder decoder = new Decoder();
         private final long openedAt = System.nanoTime();
         /** Waits for the answer to the request in hand. */
         private Exchange client;
         private FullHttpRequest whole;
+        /** The end of a body that passes through, until it is seen that nothing stands behind it. */
+        private LastHttpContent last;
         private boolean more;
         /** A request is awaited: it is the first, or has begun to come. */
         private boolean awaited = true;
@@ -308,10 +361,9 @@
         /** Whether what comes now is to be read. */
         private boolean lets() {
             heardAt = System.nanoTime();
-            if (client != null && !deaf) {
+            if (client != null && !deaf && !client.uploading()) {
                 // Clients send one request at a time. What comes behind can't be told from a wrong length of
                 // the one in hand, which so is no request either.
-                giveUp();
                 reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
             }
             if (!deaf && !awaited) {
@@ -336,6 +388,7 @@
 
         private void checkTimes() {
             if (client != null) {
+                client.checkStalls();
                 return;
             }
             if (writing) {
@@ -368,9 +421,67 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest http) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (message instanceof FullHttpRequest http) {
+                collected(http);
+            } else if (message instanceof HttpRequest head) {
+                upload(head);
+            } else if (message instanceof HttpContent part) {
+                pass(part);
+            }
+        }
+
+        /**
+         * Largest body that passes through; 0 for one that is small or not known to be allowed, or no
+         * request.
+         */
+        private long mostUploaded(HttpRequest head) {
+            long most = deaf || client != null || whole != null || head.decoderResult().isFailure() ? 0
+                    : service.uploads(head);
+            long length = HttpUtil.getContentLength(head, -1L);
+            boolean small = length >= 0 ? length <= Link.MAX_BODY : !HttpUtil.isTransferEncodingChunked(head);
+            return small || length > most ? 0 : most;
+        }
+
+        private void upload(HttpRequest head) {
+            long most = mostUploaded(head);
+            awaited = false;
+            client = new Exchange(head);
+            client.continues = HttpUtil.is100ContinueExpected(head);
+            client.upload = new Upload(streaming, most, client::readClient);
+            try {
+                service.take(head, client.upload, client);
+            } catch (RequestReader.BadRequest e) {
+                client = null;
+                reject(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+            }
+        }
+
+        private void pass(HttpContent part) {
+            if (client == null || !client.uploading() || deaf) {
+                return;
+            }
+            if (part.decoderResult().isFailure()) {
+                reject(HttpResponseStatus.BAD_REQUEST, "not HTTP");
+            } else if (part instanceof LastHttpContent end) {
+                decoder.ended();
+                last = end.retain();
+            } else {
+                pass(part.content().retain());
+            }
+        }
+
+        private boolean pass(ByteBuf part) {
+            boolean fits = client.upload.part(part);
+            if (!fits) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            }
+            return fits;
+        }
+
+        private void collected(FullHttpRequest http) {
             decoder.ended();
-            if (whole != null) {
+            if (whole != null || client != null) {
                 more = true;
             } else if (!deaf) {
                 whole = http.retain();
@@ -388,9 +499,30 @@
                     http.release();
                 }
             }
+            if (client != null && client.uploading() && !deaf) {
+                client.upload.flush();
+                if (last != null) {
+                    uploaded();
+                }
+            }
             context.fireChannelReadComplete();
         }
 
+        /** Its last byte goes on only when nothing stands behind it: until then no server can have run it. */
+        private void uploaded() {
+            LastHttpContent end = last;
+            last = null;
+            try {
+                if (more || !decoder.isEmpty()) {
+                    reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
+                } else if (pass(end.content().retain())) {
+                    client.upload.end(Headers.trailers(end.trailingHeaders()));
+                }
+            } finally {
+                end.release();
+            }
+        }
+
         private void take(FullHttpRequest http) {
             if (deaf) {
                 return;
@@ -400,7 +532,7 @@
                 return;
             }
             awaited = false;
-            client = new Exchange(HttpUtil.isKeepAlive(http));
+            client = new Exchange(http);
             if (http.decoderResult().isSuccess() && http.uri().equals("/healthz")) {
                 client.answer(service.ready() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(),
@@ -420,23 +552,31 @@
             if (deaf) {
                 return;
             }
+            if (client != null && client.bounds != null) {
+                client.breakOff();
+                return;
+            }
             release();
-            client = new Exchange(false);
+            giveUp();
+            channel.config().setAutoRead(true);
+            client = new Exchange(null);
             client.answer(status, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
                     Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8));
         }
 
         private void release() {
-            if (whole != null) {
-                whole.release();
-                whole = null;
-            }
+            ReferenceCountUtil.release(whole);
+            ReferenceCountUtil.release(last);
+            whole = null;
+            last = null;
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!channel.isActive() || cause instanceof IOException) {
                 context.close();
+            } else if (client != null && client.uploading()) {
+                reject(HttpResponseStatus.BAD_REQUEST, "not HTTP");
             } else if (client != null) {
                 log.accept("client connection: " + cause);
                 client.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(),
@@ -447,23 +587,153 @@
             }
         }
 
+        /** The time to end is up: what still passes through ends so that its client can tell. */
+        private void cutShort() {
+            if (client != null && client.bounds != null) {
+                client.breakOff();
+            } else if (client != null && client.uploading()) {
+                reject(HttpResponseStatus.GATEWAY_TIMEOUT, "ended before the body was whole");
+            }
+        }
+
         /** One request in hand and its answer; only the first answer counts. */
         private final class Exchange implements Call.Client {
             private final boolean keep;
+            private final boolean knowsChunks;
+            /**
+             * The end of the answer is that of the connection, so only a reset tells that it is not whole.
+             */
+            private boolean endsByClose;
+            /**
+             * The body of the request, if it passes through, and whether its client waits to be asked for
+             * it.
+             */
+            private Upload upload;
+            private boolean continues;
+            /** Of an answer that passes through, from its beginning on. */
+            private Streaming bounds;
+            private Flow flow;
+
+            /** Without a request that can be read there is nothing to keep the connection for. */
+            Exchange(HttpRequest http) {
+                keep = http != null && HttpUtil.isKeepAlive(http);
+                knowsChunks = http != null && !http.protocolVersion().equals(HttpVersion.HTTP_1_0);
+            }
+
+            private boolean uploading() {
+                return upload != null && !upload.whole();
+            }
+
+            /** Asks for the body, or stops reading it. */
+            private void readClient(boolean on) {
+                channel.config().setAutoRead(on || client != this);
+                if (on && continues && client == this) {
+                    continues = false;
+                    channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                }
+            }
 
-            Exchange(boolean keep) {
-                this.keep = keep;
+            private void checkStalls() {
+                if (uploading() && upload.bringsNothing()) {
+                    reject(HttpResponseStatus.REQUEST_TIMEOUT, "the body stopped coming");
+                } else if (upload != null && upload.takesNothing() || flow != null && flow.bringsNothing()) {
+                    service.stalled(this);
+                } else if (flow != null && flow.takesNothing()) {
+                    reset();
+                }
             }
 
             @Override
-            public void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+            public void begin(HttpHeaders headers, long length, Streaming limits, Flow.Source source) {
+                if (client != this) {
+                    return;
+                }
+                bounds = limits;
+                flow = new Flow(limits, source);
+                HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                        headers);
+                endsByClose = length < 0 && !knowsChunks;
+                if (length < 0 && knowsChunks) {
+                    head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+                }
+                if (!keep || ending || endsByClose) {
+                    head.headers().set(HttpHeaderNames.CONNECTION, "close");
+                }
+                channel.write(head);
+            }
+
+            @Override
+            public void part(ByteBuf part) {
+                if (client != this) {
+                    part.release();
+                    return;
+                }
+                ByteBuf kept = Flow.tight(part);
+                int weight = Flow.weight(kept);
+                channel.write(new DefaultHttpContent(kept)).addListener(f -> flow.taken(weight));
+                flow.brought(weight);
+            }
+
+            @Override
+            public void flush() {
+                channel.flush();
+            }
+
+            @Override
+            public void end(HttpHeaders trailers, Runnable taken) {
                 if (client != this) {
+                    return;
+                }
+                flow.finished();
+                channel.writeAndFlush(new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER, trailers))
+                        .addListener(f -> {
+                            if (f.isSuccess() && client == this) {
+                                client = null;
+                                deaf = !keep || endsByClose || ending || !listening.config().isAutoRead();
+                                answeredAt = System.nanoTime();
+                                taken.run();
+                                written(true);
+                            }
+                        });
+            }
+
+            @Override
+            public void breakOff() {
+                if (endsByClose) {
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                }
+                deaf = true;
+                if (client == this) {
+                    client = null;
+                    service.left(this);
+                }
+                channel.flush();
+                channel.close();
+            }
+
+            /** For a client that takes nothing: what waits for it is not worth a word more. */
+            private void reset() {
+                endsByClose = true;
+                breakOff();
+            }
+
+            @Override
+            public void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+                if (client != this || bounds != null) {
                     content.release();
+                    if (client == this) {
+                        breakOff();
+                    }
                     return;
                 }
                 client = null;
-                // While others wait to be accepted, a connection that stays open and idle shuts them out.
-                deaf = !keep || ending || !listening.config().isAutoRead();
+                // While others wait to be accepted, a connection that stays open and idle shuts them out. And
+                // where a body has not come whole, what follows is the rest of it.
+                deaf = !keep || ending || !listening.config().isAutoRead() || uploading();
+                if (upload != null) {
+                    channel.config().setAutoRead(true);
+                }
                 FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
                         headers, new DefaultHttpHeaders());
                 HttpUtil.setContentLength(response, content.readableBytes());
--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -19,7 +19,7 @@
 /** What one sidecar is told at its start. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
         Settings settings, long connectMicros, long drainGraceMicros, ServerList known,
-        ServerList.Reader lists) {
+        ServerList.Reader lists, Extensions extensions) {
 
     /**
      * Descriptors beside the clients' and servers' connections: the runtime, its files and the event loop
@@ -54,14 +54,14 @@
         return read(others);
     }
 
-    /** The same with other servers, which nothing has to be asked for, and within other descriptors. */
+    /** The same with other servers, which nothing has to be asked for, other descriptors, no extensions. */
     Config with(int otherSockets, ServerList servers) {
         Settings s = settings;
         Settings pushed = new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(),
                 s.tenants(), s.overShareWorth(), s.limits(), s.rules(), s.reports(), false,
                 s.warmKeys(), s.tickMicros());
         return new Config(name, listen, discovery, otherSockets, pushed, connectMicros, drainGraceMicros,
-                servers, lists);
+                servers, lists, Extensions.NONE);
     }
 
     private static Config of(Map<?, ?> c, Map<String, String> environment) throws IOException {
@@ -77,12 +77,14 @@
         if (sockets < LEAST_DESCRIPTORS) {
             throw new IOException("'sockets' must be " + LEAST_DESCRIPTORS + " or more");
         }
-        return new Config(text(c, "name", environment.get("LB_NAME")),
-                Addresses.parse(text(c, "listen", environment.get("LB_LISTEN"))),
-                Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY"))), sockets,
-                within(SettingsReader.read(seed(c), facts), sockets),
+        String name = text(c, "name", environment.get("LB_NAME"));
+        InetSocketAddress listen = Addresses.parse(text(c, "listen", environment.get("LB_LISTEN")));
+        InetSocketAddress discovery = Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY")));
+        Settings settings = within(SettingsReader.read(seed(c), facts), sockets);
+        return new Config(name, listen, discovery, sockets, settings,
                 Json.whole(limits, "connect_timeout_us", 250_000),
-                Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists);
+                Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists,
+                Extensions.read(environment, settings.classes()));
     }
 
     /**
--- a/src/main/java/larkbank/sidecar/Headers.java
+++ b/src/main/java/larkbank/sidecar/Headers.java
@@ -1,6 +1,7 @@
 package larkbank.sidecar;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
@@ -22,6 +23,9 @@
             HttpHeaderNames.TE, HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING,
             HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT);
 
+    private static final List<CharSequence> NOT_BEHIND = List.of(REQUEST_ID, TENANT, TIMEOUT, IDEMPOTENCY_KEY,
+            RETRY, HINT, LOAD, NOT_STARTED, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.HOST);
+
     private Headers() { }
 
     /** A copy without what concerns one connection only. */
@@ -31,6 +35,16 @@
         return copy;
     }
 
+    /** Trailers that go on: none that the protocol or the framing gives a meaning ahead of the body. */
+    static HttpHeaders trailers(HttpHeaders trailers) {
+        if (trailers.isEmpty()) {
+            return EmptyHttpHeaders.INSTANCE;
+        }
+        HttpHeaders kept = endToEnd(trailers);
+        NOT_BEHIND.forEach(kept::remove);
+        return kept;
+    }
+
     /** The only value of a header, or null where there is none or more than one. */
     static String single(HttpHeaders headers, String name) {
         List<String> values = headers.getAll(name);
--- a/src/main/java/larkbank/sidecar/Link.java
+++ b/src/main/java/larkbank/sidecar/Link.java
@@ -1,6 +1,8 @@
 package larkbank.sidecar;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,15 +15,26 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.List;
+import larkbank.streaming.Streaming;
 
 /**
  * One outgoing HTTP/1.1 connection. It collects whole answers, and tells of its end exactly once.
@@ -48,6 +61,20 @@
          */
         void answered(FullHttpResponse answer, boolean clean);
 
+        /** An answer of status 200 that passes through has begun; its end is bounded. */
+        default void began(HttpResponse head) { }
+
+        /** A part of it, which the owner takes over. */
+        default void part(ByteBuf part) {
+            part.release();
+        }
+
+        /** All that came in one go has been told. */
+        default void flush() { }
+
+        /** It has come whole. */
+        default void finished(HttpHeaders trailers, boolean clean) { }
+
         /** Never came up, broke, or was closed by either side. */
         void closed();
     }
@@ -57,6 +84,8 @@
     private final Decoder decoder = new Decoder();
     /** A request has been sent and its answer not been told. */
     private boolean asked;
+    /** Largest answer that passes through as it arrives; 0 where it is collected. */
+    private long mostStreamed;
     private boolean down;
 
     /** Shows whether it holds a part of a further message, and takes no line of a head without a colon. */
@@ -89,15 +118,25 @@
     }
 
     Link(EventLoop loop, InetSocketAddress to, int maxBody, long connectMicros, Owner owner) {
+        this(loop, to, maxBody, connectMicros, false, owner);
+    }
+
+    /** One that streams may pass over is read in small pieces, so that few bytes come past a watermark. */
+    Link(EventLoop loop, InetSocketAddress to, int maxBody, long connectMicros, boolean streams,
+            Owner owner) {
         this.owner = owner;
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        Bootstrap bootstrap = new Bootstrap();
+        if (streams) {
+            bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, smallReads());
+        }
+        ChannelFuture connecting = bootstrap.group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectMicros / 1000))
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new Gate(), decoder, new HttpRequestEncoder(),
-                                new HttpObjectAggregator(maxBody), new Answers());
+                                new Whole(maxBody), new Answers());
                     }
                 }).connect(to);
         channel = connecting.channel();
@@ -113,6 +152,10 @@
         channel.closeFuture().addListener(f -> later(loop, this::down));
     }
 
+    static AdaptiveRecvByteBufAllocator smallReads() {
+        return new AdaptiveRecvByteBufAllocator(64, 2048, Streaming.READ_BYTES);
+    }
+
     private static void later(EventLoop loop, Runnable task) {
         if (!loop.isShuttingDown()) {
             loop.execute(task);
@@ -131,7 +174,13 @@
     }
 
     void send(FullHttpRequest request) {
+        send(request, 0);
+    }
+
+    /** With an answer that passes through as it arrives, up to a length. */
+    void send(FullHttpRequest request, long mostStreamed) {
         asked = true;
+        this.mostStreamed = mostStreamed;
         channel.writeAndFlush(request).addListener(f -> {
             if (f.isSuccess()) {
                 owner.written();
@@ -141,6 +190,23 @@
         });
     }
 
+    /** Sends the head of a request whose body passes through; who sends the body tells that it is written. */
+    Channel begin(HttpRequest head, long mostStreamed) {
+        asked = true;
+        this.mostStreamed = mostStreamed;
+        channel.write(head).addListener(f -> {
+            if (!f.isSuccess()) {
+                channel.close();
+            }
+        });
+        return channel;
+    }
+
+    /** Whether what comes is to be read. */
+    void read(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
     void close() {
         channel.close();
     }
@@ -165,14 +231,90 @@
         }
     }
 
-    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Collects answers, but for the one that passes through. */
+    private final class Whole extends HttpObjectAggregator {
+        private boolean passing;
+
+        Whole(int maxBody) {
+            super(maxBody);
+        }
+
+        @Override
+        public boolean acceptInboundMessage(Object message) throws Exception {
+            if (message instanceof HttpResponse head) {
+                passing = mostStreamed > 0 && head.status().equals(HttpResponseStatus.OK)
+                        && !(message instanceof FullHttpResponse);
+            }
+            return !passing && super.acceptInboundMessage(message);
+        }
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<HttpObject> {
         /** Whole, and told once all is read that came with it. */
         private FullHttpResponse whole;
+        /** The answer that passes through: what it may still bring, and its trailers once it is whole. */
+        private boolean passing;
+        private long left;
+        private HttpHeaders trailers;
         private boolean more;
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (message instanceof FullHttpResponse answer) {
+                collected(context, answer);
+            } else if (message instanceof HttpResponse head) {
+                begin(context, head);
+            } else if (message instanceof HttpContent part) {
+                pass(context, part);
+            }
+        }
+
+        /** Only an answer whose end is told can be known to be whole; one that is too long is none. */
+        private void begin(ChannelHandlerContext context, HttpResponse head) {
+            HttpHeaders headers = head.headers();
+            List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            boolean chunked = codings.size() == 1
+                    && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim());
+            long length = HttpUtil.getContentLength(head, -1L);
+            if (whole != null || passing || trailers != null) {
+                more = true;
+            } else if (head.decoderResult().isFailure() || length > mostStreamed
+                    || (codings.isEmpty() ? length < 0 : !chunked || length >= 0)) {
+                context.close();
+            } else {
+                passing = true;
+                left = mostStreamed;
+                owner.began(head);
+            }
+        }
+
+        private void pass(ChannelHandlerContext context, HttpContent part) {
+            if (!passing) {
+                more = true;
+                return;
+            }
+            left -= part.content().readableBytes();
+            if (part.decoderResult().isFailure() || left < 0) {
+                passing = false;
+                context.close();
+                return;
+            }
+            if (part.content().isReadable()) {
+                owner.part(part.content().retain());
+            }
+            if (part instanceof LastHttpContent last) {
+                decoder.ended();
+                passing = false;
+                trailers = last.trailingHeaders();
+            }
+        }
+
+        private void collected(ChannelHandlerContext context, FullHttpResponse answer) {
             decoder.ended();
+            if (trailers != null || passing) {
+                more = true;
+                return;
+            }
             if (whole != null) {
                 more = true;
             } else if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -191,7 +333,15 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            if (whole != null) {
+            if (passing || trailers != null) {
+                owner.flush();
+            }
+            if (trailers != null) {
+                HttpHeaders last = trailers;
+                trailers = null;
+                asked = false;
+                owner.finished(last, !more && decoder.isEmpty() && channel.isActive());
+            } else if (whole != null) {
                 FullHttpResponse answer = whole;
                 whole = null;
                 asked = false;
--- a/src/main/java/larkbank/sidecar/RequestReader.java
+++ b/src/main/java/larkbank/sidecar/RequestReader.java
@@ -1,18 +1,20 @@
 package larkbank.sidecar;
 
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import larkbank.LoadBalancer.Effect;
 import larkbank.LoadBalancer.Request;
+import larkbank.LoadBalancer.RequestClass;
 import larkbank.LoadBalancer.Settings;
+import larkbank.streaming.Streaming;
+import larkbank.streaming.Upload;
 
 /** Turns a client's message into a request, or says why it is none. */
 final class RequestReader {
@@ -46,20 +48,22 @@
         }
     }
 
-    Call read(long now, FullHttpRequest http, Call.Client client) throws BadRequest {
+    /** The body is what came with the request, or, where that is null, what passes through as it arrives. */
+    Call read(long now, HttpRequest http, byte[] body, Upload upload, Streaming streaming, Call.Client client)
+            throws BadRequest {
         if (http.decoderResult().isFailure()) {
             throw new BadRequest("not HTTP");
         }
         checkFraming(http);
         HttpHeaders headers = http.headers();
-        String path = path(http.uri());
-        int slash = path.indexOf('/');
-        Integer requestClass = classes.get(slash < 0 ? path : path.substring(0, slash));
-        if (requestClass == null) {
+        RequestClass known = requestClass(http.uri());
+        if (known == null) {
             throw new BadRequest("no such class");
         }
-        boolean write = settings.classes().get(requestClass).effect() != Effect.SAFE;
-        checkMethod(http, settings.classes().get(requestClass).effect());
+        String path = path(http.uri());
+        int slash = path.indexOf('/');
+        boolean write = known.effect() != Effect.SAFE;
+        checkMethod(http, known.effect(), upload != null || body.length > 0);
         String id = Headers.single(headers, Headers.REQUEST_ID);
         if (id == null || id.isEmpty() || id.length() > MAX_ID) {
             throw new BadRequest("no " + Headers.REQUEST_ID);
@@ -70,13 +74,22 @@
         long key = slash < 0 || slash == path.length() - 1 ? -1
                 : Ids.of(path.substring(path.lastIndexOf('/') + 1));
         boolean repeat = headers.contains(Headers.RETRY, "1", false);
-        Request request = new Request(id, requestClass, tenant(headers), repeat, key, deadline, hint, write);
-        return new Call(request, http.method(), http.uri(), headers, ByteBufUtil.getBytes(http.content()),
-                client);
+        long streamed = streaming.bounds(known.name()).answerBytes();
+        Request request = new Request(id, classes.get(known.name()), tenant(headers), repeat, key, deadline,
+                hint, write, upload != null, streaming.hold(upload != null, streamed > 0));
+        return new Call(request, http.method(), http.uri(), headers, body, upload, streamed, client);
+    }
+
+    /** The class that a path names, or null. */
+    RequestClass requestClass(String uri) {
+        String path = path(uri);
+        int slash = path.indexOf('/');
+        Integer number = classes.get(slash < 0 ? path : path.substring(0, slash));
+        return number == null ? null : settings.classes().get(number);
     }
 
     /** The decoder refuses lengths that are odd, repeated or beside a coding; other codings it lets pass. */
-    private static void checkFraming(FullHttpRequest http) throws BadRequest {
+    private static void checkFraming(HttpRequest http) throws BadRequest {
         List<String> codings = http.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         boolean chunked = codings.size() == 1
                 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
@@ -96,13 +109,13 @@
     }
 
     /** The method and the key say what the client takes the class for; it must be what the settings say. */
-    private static void checkMethod(FullHttpRequest http, Effect effect) throws BadRequest {
+    private static void checkMethod(HttpRequest http, Effect effect, boolean body) throws BadRequest {
         List<String> keys = http.headers().getAll(Headers.IDEMPOTENCY_KEY);
         HttpMethod wanted = effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
         if (!http.method().equals(wanted)) {
             throw new BadRequest("this class wants " + wanted);
         }
-        if (effect == Effect.SAFE && http.content().isReadable()) {
+        if (effect == Effect.SAFE && body) {
             throw new BadRequest("this class has no body");
         }
         if (keys.size() != (effect == Effect.KEYED ? 1 : 0)) {
--- a/src/main/java/larkbank/sidecar/ServerPool.java
+++ b/src/main/java/larkbank/sidecar/ServerPool.java
@@ -1,14 +1,20 @@
 package larkbank.sidecar;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -26,6 +32,7 @@
 import larkbank.LoadBalancer.Server;
 import larkbank.LoadReports;
 import larkbank.sidecar.Call.Attempt;
+import larkbank.streaming.Flow;
 
 /**
  * Connections to the servers and the attempts on them. A connection carries one attempt at a time; nothing is
@@ -36,6 +43,23 @@
     /** How an attempt ended; the answer is there only when a server gave one, and only during the call. */
     interface Listener {
         void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer);
+
+        /** The last byte of an upload has left. */
+        default void written(Attempt attempt) { }
+
+        /** An answer that passes through has begun; reading it can be stopped and let on. */
+        default void began(Attempt attempt, HttpResponse head, LoadReport report, Flow.Source source) { }
+
+        /** A part of it, which the listener takes over. */
+        default void part(Attempt attempt, ByteBuf part) {
+            part.release();
+        }
+
+        /** All that came in one go has been told. */
+        default void flush(Attempt attempt) { }
+
+        /** It has come whole. */
+        default void finished(Attempt attempt, HttpHeaders trailers) { }
     }
 
     /** A second copy of an answer may come this much later, so for as long a connection is not used again. */
@@ -48,6 +72,7 @@
     private final long connectMicros;
     private final long drainGraceMicros;
     private final long idleMicros;
+    private boolean streams;
     private final Map<Long, Node> nodes = new HashMap<>();
     private final Map<Attempt, Connection> busy = new HashMap<>();
     private int open;
@@ -83,10 +108,19 @@
         connectMicros = config.connectMicros();
         drainGraceMicros = config.drainGraceMicros();
         idleMicros = config.settings().limits().idleMicros();
+        streams = config.extensions().streaming().isOn();
         long sweep = Math.max(1, Math.min(1_000_000, idleMicros / 10));
         loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MICROSECONDS);
     }
 
+    /** From now on answers may pass through; what was opened for whole ones is not used again for them. */
+    void streams(boolean next) {
+        if (streams != next) {
+            streams = next;
+            nodes.values().forEach(ServerPool::closeIdle);
+        }
+    }
+
     /** Takes over what discovery says of the servers. */
     void update(ServerList list) {
         long now = clock.micros();
@@ -173,7 +207,7 @@
 
     /** Stops an attempt, which tells the server so, and closes its connection. */
     void abandon(Attempt attempt) {
-        Connection connection = busy.remove(attempt);
+        Connection connection = letGo(attempt);
         if (connection != null) {
             connection.attempt = null;
             connection.link.close();
@@ -224,24 +258,33 @@
     }
 
     private void end(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer) {
-        busy.remove(attempt);
+        letGo(attempt);
         if (attempt.result == null) {
             listener.ended(attempt, result, report, answer);
         }
     }
 
+    private Connection letGo(Attempt attempt) {
+        Connection connection = busy.remove(attempt);
+        if (connection != null && attempt.call.upload != null) {
+            attempt.call.upload.detach();
+        }
+        return connection;
+    }
+
     /** A connection to a server: coming up, carrying an attempt, or idle. */
     private final class Connection implements Link.Owner {
         private final Node node;
         private final Link link;
         private Attempt attempt;
         private long idleSince;
+        private boolean keepAlive;
 
         Connection(Node node) {
             this.node = node;
             open++;
             node.connections++;
-            link = new Link(loop, node.address, Link.MAX_BODY, connectMicros, this);
+            link = new Link(loop, node.address, Link.MAX_BODY, connectMicros, streams, this);
         }
 
         void take(Attempt next) {
@@ -263,13 +306,40 @@
                 end(unsent, Result.NOT_SENT, null, null);
                 return;
             }
-            link.send(request(attempt, now));
+            if (attempt.call.upload == null) {
+                link.send(request(attempt, now), attempt.call.mostStreamed);
+            } else {
+                Attempt sent = attempt;
+                Channel taker = link.begin(head(attempt, now), attempt.call.mostStreamed);
+                attempt.call.upload.attach(taker, () -> uploaded(sent));
+            }
+        }
+
+        private void uploaded(Attempt sent) {
+            if (attempt == sent) {
+                written();
+                listener.written(sent);
+            }
+        }
+
+        private HttpHeaders headers(Attempt a, long now) {
+            HttpHeaders headers = Headers.endToEnd(a.call.headers);
+            headers.set(Headers.TIMEOUT, Math.max(1, (a.giveUpAt - now) / 1000));
+            return headers;
+        }
+
+        /** Of a request whose body follows, framed as its client framed it. */
+        private HttpRequest head(Attempt a, long now) {
+            HttpHeaders headers = headers(a, now);
+            if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            return new DefaultHttpRequest(HttpVersion.HTTP_1_1, a.call.method, a.call.uri, headers);
         }
 
         private FullHttpRequest request(Attempt a, long now) {
             Call call = a.call;
-            HttpHeaders headers = Headers.endToEnd(call.headers);
-            headers.set(Headers.TIMEOUT, Math.max(1, (a.giveUpAt - now) / 1000));
+            HttpHeaders headers = headers(a, now);
             headers.remove(HttpHeaderNames.CONTENT_LENGTH);
             if (call.body.length > 0 || !call.method.equals(HttpMethod.GET)) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
@@ -309,10 +379,11 @@
          */
         @Override
         public void answered(FullHttpResponse answer, boolean clean) {
-            if (attempt == null || !attempt.written) {
+            if (attempt == null || !attempt.written && !refusesUpload(answer)) {
                 link.close();
                 return;
             }
+            clean &= attempt.written;
             Result result = result(answer);
             LoadReport report = LoadReports.parse(answer.headers().getAll(Headers.LOAD));
             Attempt done = attempt;
@@ -325,6 +396,61 @@
             end(done, result, report, answer);
         }
 
+        /** A server may turn away or fail an upload that it has not got whole; it can't have served it. */
+        private boolean refusesUpload(FullHttpResponse answer) {
+            return attempt.call.upload != null && answer.status().code() >= 400;
+        }
+
+        @Override
+        public void began(HttpResponse head) {
+            if (attempt == null || !attempt.written) {
+                link.close();
+                return;
+            }
+            Attempt taker = attempt;
+            keepAlive = HttpUtil.isKeepAlive(head);
+            listener.began(taker, head, LoadReports.parse(head.headers().getAll(Headers.LOAD)), on -> {
+                // Once the answer is whole the connection may be another's.
+                if (attempt == taker) {
+                    link.read(on);
+                }
+            });
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            if (attempt == null) {
+                part.release();
+            } else {
+                listener.part(attempt, part);
+            }
+        }
+
+        @Override
+        public void flush() {
+            if (attempt != null) {
+                listener.flush(attempt);
+            }
+        }
+
+        @Override
+        public void finished(HttpHeaders trailers, boolean clean) {
+            if (attempt == null) {
+                link.close();
+                return;
+            }
+            Attempt done = attempt;
+            letGo(done);
+            link.read(true);
+            if (clean && keepAlive) {
+                rest();
+            } else {
+                attempt = null;
+                link.close();
+            }
+            listener.finished(done, trailers);
+        }
+
         private static Result result(FullHttpResponse answer) {
             int status = answer.status().code();
             if (status == HttpResponseStatus.OK.code()) {
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -1,5 +1,7 @@
 package larkbank.sidecar;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -9,7 +11,10 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -18,6 +23,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -31,9 +37,13 @@
 import larkbank.LoadBalancer.ListKind;
 import larkbank.LoadBalancer.LoadReport;
 import larkbank.LoadBalancer.Outcome;
+import larkbank.LoadBalancer.RequestClass;
 import larkbank.LoadBalancer.Result;
 import larkbank.LoadBalancer.Settings;
 import larkbank.sidecar.Call.Attempt;
+import larkbank.streaming.Flow;
+import larkbank.streaming.Streaming;
+import larkbank.streaming.Upload;
 
 /**
  * The real host of the module: it turns what happens on sockets into the module's events and the module's
@@ -43,6 +53,9 @@
 
     /** The module ends its requests at their deadline; past this much more the sidecar does. */
     private static final long OVERDUE_MICROS = 5_000;
+    /** Answers that tell a client that asking again is harmless: only the module may say so. */
+    private static final Set<HttpResponseStatus> REFUSALS =
+            Set.of(HttpResponseStatus.TOO_MANY_REQUESTS, HttpResponseStatus.SERVICE_UNAVAILABLE);
     /** Requests of the rehearsal, and its longest time. */
     private static final int REHEARSED = 250;
     private static final long REHEARSAL_MILLIS = 1_500;
@@ -56,6 +69,8 @@
     private final Discovery discovery;
     private final ClientServer clients;
     private final Config config;
+    /** What streams, as the file of extensions said last. */
+    private Streaming streaming;
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<Call.Client, Call> waiting = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -85,6 +100,15 @@
         discovery = new Discovery(loop, config.discovery(), config.lists(), config.known().revision(), this,
                 this::log);
         clients = new ClientServer(loop, this, config.clientConnections(), this::log);
+        extend(config.extensions());
+    }
+
+    /** What was begun under other extensions ends under them. */
+    private void extend(Extensions extensions) {
+        streaming = extensions.streaming();
+        pool.streams(streaming.isOn());
+        clients.streams(streaming);
+        tell(null, now -> module.buffers(now, streaming.isOn() ? streaming.bufferedBytes() : Long.MAX_VALUE));
     }
 
     /** Runs a sidecar until it is told to end; the exit status. */
@@ -140,7 +164,10 @@
     void reload(Map<String, String> environment) {
         try {
             Config next = Config.reread(environment);
-            loop.execute(() -> discovery.move(next.discovery()));
+            loop.execute(() -> {
+                discovery.move(next.discovery());
+                extend(next.extensions());
+            });
         } catch (IOException | RuntimeException e) {
             log.println(plain(e) + "; the old configuration stays");
         }
@@ -247,30 +274,176 @@
     @Override
     public void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest {
         long now = clock.micros();
-        Call call = reader.read(now, http, client);
+        Call call = reader.read(now, http, ByteBufUtil.getBytes(http.content()), null, streaming, client);
+        keep(call, client);
+        expire(call, now);
+        tell(call, at -> module.request(at, call.request));
+    }
+
+    private void keep(Call call, Call.Client client) throws RequestReader.BadRequest {
         if (calls.putIfAbsent(call.request.id(), call) != null) {
             throw new RequestReader.BadRequest("this " + Headers.REQUEST_ID + " is in hand");
         }
         waiting.put(client, call);
+    }
+
+    private void expire(Call call, long now) {
         call.expiry = loop.schedule(() -> abort(call, HttpResponseStatus.GATEWAY_TIMEOUT),
-                call.request.deadlineMicros() - now + OVERDUE_MICROS, TimeUnit.MICROSECONDS);
+                call.deadlineMicros - now + OVERDUE_MICROS, TimeUnit.MICROSECONDS);
+    }
+
+    // ---- Bodies that pass through as they arrive
+
+    @Override
+    public long uploads(HttpRequest head) {
+        RequestClass known = reader.requestClass(head.uri());
+        return known == null ? 0 : streaming.bounds(known.name()).requestBytes();
+    }
+
+    @Override
+    public void take(HttpRequest head, Upload upload, Call.Client client) throws RequestReader.BadRequest {
+        long now = clock.micros();
+        Call call = reader.read(now, head, null, upload, streaming, client);
+        keep(call, client);
+        upload.listen(new Upload.Listener() {
+            /** The client's time runs from its last byte, as for a request that is taken whole. */
+            @Override
+            public void whole() {
+                long at = clock.micros();
+                call.deadlineMicros = at + call.request.deadlineMicros() - now;
+                expire(call, at);
+                tell(call, when -> module.uploaded(when, call.request.id(), call.deadlineMicros));
+            }
+
+            @Override
+            public void replayLost() {
+                tell(call, at -> module.replayLost(at, call.request.id()));
+            }
+        });
         tell(call, at -> module.request(at, call.request));
     }
 
+    /** Only from its last byte on may a server be late. */
+    @Override
+    public void written(Attempt attempt) {
+        long now = clock.micros();
+        attempt.since = now;
+        attempt.giveUpAt = giveUpAt(attempt.call, now, attempt.patienceMicros);
+        if (attempt.timeout != null) {
+            attempt.timeout.cancel(false);
+        }
+        attempt.timeout = loop.schedule(() -> stopWaiting(attempt, Result.TIMED_OUT),
+                attempt.giveUpAt - now, TimeUnit.MICROSECONDS);
+    }
+
+    /** The server takes or brings nothing any more. */
+    @Override
+    public void stalled(Call.Client client) {
+        Call call = waiting.get(client);
+        if (call != null) {
+            for (Attempt attempt : List.copyOf(call.attempts)) {
+                if (attempt.result == null) {
+                    pool.abandon(attempt);
+                    ended(attempt, attempt.written ? Result.TIMED_OUT : Result.NO_CONNECTION, null, null);
+                }
+            }
+        }
+    }
+
+    @Override
+    public void began(Attempt attempt, HttpResponse head, LoadReport report, Flow.Source source) {
+        Call call = attempt.call;
+        if (call.over || call.streaming != null) {
+            stopWaiting(attempt, Result.CANCELLED);
+            return;
+        }
+        attempt.timeout.cancel(false);
+        call.expiry.cancel(false);
+        call.streaming = attempt;
+        call.report = report;
+        tell(call, now -> module.streamBegan(now, call.request.id(), attempt.number, attempt.server,
+                now - attempt.since));
+        HttpHeaders headers = Headers.endToEnd(head.headers());
+        headers.remove(Headers.LOAD);
+        call.client.begin(headers, HttpUtil.getContentLength(head, -1L), streaming, source);
+    }
+
+    @Override
+    public void part(Attempt attempt, ByteBuf part) {
+        if (attempt.call.over) {
+            part.release();
+        } else {
+            attempt.call.client.part(part);
+        }
+    }
+
+    @Override
+    public void flush(Attempt attempt) {
+        if (!attempt.call.over) {
+            attempt.call.client.flush();
+        }
+    }
+
+    /** The server has done its part; the request is in hand until its client has taken all. */
+    @Override
+    public void finished(Attempt attempt, HttpHeaders trailers) {
+        Call call = attempt.call;
+        if (call.over) {
+            streamed(attempt, Result.SERVED);
+        } else {
+            call.client.end(Headers.trailers(trailers), () -> streamed(attempt, Result.SERVED));
+        }
+    }
+
+    /** The end of an answer that passed through, whole or broken. */
+    private void streamed(Attempt attempt, Result result) {
+        Call call = attempt.call;
+        if (attempt.result != null) {
+            return;
+        }
+        attempt.result = result;
+        call.out--;
+        if (!call.over) {
+            over(call);
+            if (result != Result.SERVED) {
+                call.client.breakOff();
+            }
+        }
+        tell(call, now -> module.outcome(now, new Outcome(call.request.id(), attempt.number, attempt.server,
+                result, now - attempt.since, true, call.report)));
+        forget(call);
+    }
+
     @Override
     public void left(Call.Client client) {
         Call call = waiting.get(client);
         if (call != null) {
             over(call);
             tell(null, now -> module.clientLeft(now, call.request.id()));
+            // Whether or not attempts may be called off: what passes through has nowhere to go any more.
+            if (call.streaming != null) {
+                stopWaiting(call.streaming, Result.CANCELLED);
+            } else if (call.upload != null) {
+                call.attempts.forEach(a -> stopWaiting(a, Result.CANCELLED));
+            }
         }
     }
 
     @Override
     public void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer) {
         Call call = attempt.call;
+        if (call.streaming == attempt) {
+            streamed(attempt, result);
+            return;
+        }
         attempt.result = result;
-        attempt.timeout.cancel(false);
+        if (attempt.timeout != null) {
+            attempt.timeout.cancel(false);
+        }
+        if (result == Result.ERROR && !attempt.written && !REFUSALS.contains(answer.status())) {
+            call.refusal = new Call.Refusal(answer.status(), Headers.endToEnd(answer.headers()),
+                    ByteBufUtil.getBytes(answer.content()));
+        }
         call.out--;
         if (result == Result.SERVED && !call.over) {
             HttpHeaders headers = Headers.endToEnd(answer.headers());
@@ -280,7 +453,7 @@
             client.answer(HttpResponseStatus.OK, headers, answer.content().retain());
         }
         tell(call, now -> module.outcome(now, new Outcome(call.request.id(), attempt.number, attempt.server,
-                result, now - attempt.sentAt, call.over, report)));
+                result, now - attempt.since, call.over, report)));
         forget(call);
     }
 
@@ -293,16 +466,23 @@
             return;
         }
         long now = clock.micros();
-        long deadline = call.request.deadlineMicros();
-        long giveUpAt = timeoutMicros == 0 ? deadline : Math.min(deadline, now + timeoutMicros);
+        long giveUpAt = giveUpAt(call, now, timeoutMicros);
         Attempt attempt = new Attempt(call, server, now, giveUpAt);
+        attempt.patienceMicros = timeoutMicros;
         call.attempts.add(attempt);
         call.out++;
-        attempt.timeout = loop.schedule(() -> stopWaiting(attempt, Result.TIMED_OUT), giveUpAt - now,
-                TimeUnit.MICROSECONDS);
+        if (call.upload == null || call.upload.whole()) {
+            attempt.timeout = loop.schedule(() -> stopWaiting(attempt, Result.TIMED_OUT), giveUpAt - now,
+                    TimeUnit.MICROSECONDS);
+        }
         pool.start(attempt);
     }
 
+    private static long giveUpAt(Call call, long now, long patienceMicros) {
+        return patienceMicros == 0 ? call.deadlineMicros
+                : Math.min(call.deadlineMicros, now + patienceMicros);
+    }
+
     /** Until its last byte is written an attempt can't have run, and the module is told that proof. */
     private void stopWaiting(Attempt attempt, Result otherwise) {
         if (attempt.result == null) {
@@ -332,6 +512,12 @@
     @Override
     public void fail(String requestId) {
         Call call = calls.get(requestId);
+        if (call != null && call.refusal != null) {
+            call.refusal.headers().remove(Headers.LOAD);
+            answer(call, call.refusal.status(), call.refusal.headers(),
+                    Unpooled.wrappedBuffer(call.refusal.content()));
+            return;
+        }
         boolean late = call != null && call.attempts.stream().anyMatch(a -> a.result == Result.TIMED_OUT);
         answer(call, late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
                 new DefaultHttpHeaders());
@@ -361,9 +547,13 @@
     // ---- The one answer
 
     private void answer(Call call, HttpResponseStatus status, HttpHeaders headers) {
+        answer(call, status, headers, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void answer(Call call, HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
         if (call != null && !call.over) {
             over(call);
-            call.client.answer(status, headers, Unpooled.EMPTY_BUFFER);
+            call.client.answer(status, headers, content);
         }
     }
 
@@ -372,12 +562,20 @@
         if (!call.over) {
             answer(call, status, new DefaultHttpHeaders());
             tell(null, now -> module.clientLeft(now, call.request.id()));
+            if (call.streaming != null) {
+                stopWaiting(call.streaming, Result.CANCELLED);
+            }
         }
     }
 
     private void over(Call call) {
         call.over = true;
-        call.expiry.cancel(false);
+        if (call.expiry != null) {
+            call.expiry.cancel(false);
+        }
+        if (call.upload != null) {
+            call.upload.close();
+        }
         waiting.remove(call.client);
         forget(call);
     }
--- /dev/null
+++ b/src/test/java/larkbank/StreamsTest.java
@@ -0,0 +1,143 @@
+package larkbank;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import larkbank.LoadBalancer.Effect;
+import larkbank.LoadBalancer.Group;
+import larkbank.LoadBalancer.Request;
+import larkbank.LoadBalancer.Result;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What the module decides of requests whose bodies pass through as they arrive. */
+class StreamsTest {
+
+    private static final long MINUTE = 60_000_000;
+
+    private static Recorder recorder(Effect effect, int servers) {
+        return new Recorder(Recorder.settings(effect, Group.ZONE), servers);
+    }
+
+    private static void upload(Recorder r, String id, long buffer) {
+        r.choice.request(r.now, new Request(id, 0, 0, false, -1, r.now + 1_000_000, 0, true, true, buffer));
+    }
+
+    private static void begin(Recorder r, long elapsed) {
+        Recorder.Sent last = r.sent.get(r.sent.size() - 1);
+        r.now += elapsed;
+        r.choice.streamBegan(r.now, last.request(), 0, last.server(), elapsed);
+    }
+
+    private static boolean ejected(Recorder r) {
+        return r.actions.stream().anyMatch(a -> a.contains("ejected"));
+    }
+
+    /**
+     * A stream of a minute is the work of a beginning that took 50 ms: its server is neither slow nor
+     * silent.
+     */
+    @Test
+    void lengthOfAStreamSaysNothingOfItsServer() {
+        Recorder r = recorder(Effect.SAFE, 1);
+        for (int i = 0; i < 20; i++) {
+            r.request("s" + i);
+            assertEquals(i + 1, r.sent.size(), "held back");
+            begin(r, 50_000);
+        }
+        r.now += MINUTE;
+        for (int i = 0; i < 20; i++) {
+            Recorder.Sent s = r.sent.get(i);
+            r.choice.outcome(r.now, new LoadBalancer.Outcome(s.request(), 0, s.server(), Result.SERVED,
+                    MINUTE, true, null));
+        }
+        r.request("next");
+        assertEquals(21, r.sent.size());
+        assertTrue(!ejected(r), r.actions.toString());
+    }
+
+    @Test
+    void streamThatBreaksIsNeverSentAgainAndCountsAgainstItsServer() {
+        Recorder r = recorder(Effect.SAFE, 4);
+        for (int i = 0; i < 40; i++) {
+            r.request("s" + i);
+            int sent = r.sent.size();
+            long server = r.sent.get(sent - 1).server();
+            begin(r, 20_000);
+            r.answer(0, server % 2 == 1 ? Result.BROKEN : Result.SERVED, 50_000, true);
+            assertEquals(sent, r.sent.size());
+        }
+        long broken = r.sent.stream().filter(s -> s.server() % 2 == 1).count();
+        assertTrue(broken > 0 && broken < 10, broken + " of 40 streams went to the half that breaks them");
+        assertTrue(r.refused.isEmpty() && r.failed.isEmpty());
+    }
+
+    /** While the replay buffer holds all that was sent, a proof of not having run lets it go out again. */
+    @ParameterizedTest
+    @CsvSource({"false, FULL, true, false", "true, FULL, false, true", "true, NO_CONNECTION, false, true",
+        "true, ERROR, false, false"})
+    void bodyThatIsNotKeptIsNotSentAgain(boolean lost, Result result, boolean again, boolean refused) {
+        Recorder r = recorder(Effect.UNSAFE, 4);
+        upload(r, "u", 1);
+        if (lost) {
+            r.choice.replayLost(r.now, "u");
+        }
+        r.answer(0, result, 10_000, false);
+        assertEquals(again, r.sent.size() == 2);
+        assertEquals(refused ? List.of("u") : List.of(), r.refused);
+        assertEquals(again || refused ? List.of() : List.of("u"), r.failed);
+    }
+
+    /** A server owes nothing before the last byte; from then on its silence tells. */
+    @Test
+    void slowUploadIsNotASilentServer() {
+        Recorder r = recorder(Effect.UNSAFE, 2);
+        upload(r, "u", 1);
+        r.now += MINUTE;
+        r.request("watch");
+        assertTrue(!ejected(r), r.actions.toString());
+    }
+
+    /** Kept whole, it may go out again within the time that its client has from the last byte. */
+    @Test
+    void timeOfAnUploadRunsFromItsLastByte() {
+        Recorder r = recorder(Effect.UNSAFE, 4);
+        upload(r, "u", 1);
+        r.now += MINUTE;
+        r.choice.uploaded(r.now, "u", r.now + 1_000_000);
+        r.answer(0, Result.FULL, 10_000, false);
+        assertEquals(2, r.sent.size());
+        Recorder late = recorder(Effect.UNSAFE, 4);
+        upload(late, "u", 1);
+        late.now += MINUTE;
+        late.answer(0, Result.FULL, 10_000, false);
+        assertEquals(1, late.sent.size());
+        assertEquals(List.of("u"), late.refused);
+    }
+
+    @Test
+    void boundOnBuffersRefusesNewOnesUntilOldOnesHaveEnded() {
+        Recorder r = recorder(Effect.UNSAFE, 4);
+        r.choice.buffers(r.now, 300);
+        upload(r, "a", 100);
+        upload(r, "b", 200);
+        upload(r, "c", 1);
+        assertEquals(List.of("c"), r.refused);
+        r.request("whole");
+        assertEquals(3, r.sent.size(), "what holds no buffer is not refused");
+        Recorder.Sent b = r.sent.get(1);
+        r.choice.streamBegan(r.now, "b", 0, b.server(), 1000);
+        upload(r, "d", 1);
+        assertEquals(List.of("c", "d"), r.refused);
+        r.choice.outcome(r.now, new LoadBalancer.Outcome("b", 0, b.server(), Result.BROKEN, 1000, true,
+                null));
+        upload(r, "e", 200);
+        assertEquals(List.of("c", "d"), r.refused);
+        // A request that its client has left holds its buffer while its attempt is out.
+        r.choice.clientLeft(r.now, "a");
+        upload(r, "f", 100);
+        assertEquals(List.of("c", "d", "f"), r.refused);
+    }
+}
--- a/src/test/java/larkbank/sidecar/Harness.java
+++ b/src/test/java/larkbank/sidecar/Harness.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.stream.Stream;
 import larkbank.Choice;
 import larkbank.LoadBalancer;
 import larkbank.LoadBalancer.Actions;
@@ -35,6 +36,10 @@
             + "{'name':'hold','effect':'token','aim_us':400000,'deadline_us':3000000,'worth':1,"
             + "'late_value':0.5,'dedup_window_us':3000000},"
             + "{'name':'book','effect':'side_effect','aim_us':400000,'deadline_us':3000000,'worth':1,"
+            + "'late_value':0.5},"
+            + "{'name':'export','effect':'pure','aim_us':400000,'deadline_us':3000000,'worth':1,"
+            + "'late_value':0.5,'streaming':true},"
+            + "{'name':'append','effect':'side_effect','aim_us':400000,'deadline_us':3000000,'worth':1,"
             + "'late_value':0.5}],"
             + "'tenants':[{'name':'acme','share':1}],'zones':['a'],'models':['m'],'zone':0,'discovery':'ask',"
             + "'policy_limits':{'attempts_cap':4,'cancelling':true,'retry_after':false,"
@@ -50,6 +55,7 @@
     private final List<Client> clients = new ArrayList<>();
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
     final Path file;
+    final Path extensions;
     Sidecar sidecar;
     InetSocketAddress address;
 
@@ -58,13 +64,18 @@
     }
 
     Harness(Path folder, long connectMicros, int sockets, Stub... servers) throws Exception {
+        this(folder, connectMicros, sockets, Stream.of(servers).map(Stub::port).toList());
+    }
+
+    Harness(Path folder, long connectMicros, int sockets, List<Integer> ports) throws Exception {
         // The first answer says what is known already; the watch that goes on then hears nothing.
         discovery = new Stub(seen -> { });
         loop = group.next();
         file = folder.resolve("config.json");
+        extensions = folder.resolve("extensions.json");
         Files.writeString(file, json(("{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:"
                 + discovery.port() + "','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
-                + "},'known':" + list(1, true, "in_service", servers) + ",'settings':" + SETTINGS + "}")
+                + "},'known':" + list(1, true, "in_service", ports) + ",'settings':" + SETTINGS + "}")
                 .replace("CONNECT", String.valueOf(connectMicros))));
     }
 
@@ -73,16 +84,32 @@
     }
 
     static String list(int revision, boolean all, String state, Stub... servers) {
+        return list(revision, all, state, Stream.of(servers).map(Stub::port).toList());
+    }
+
+    static String list(int revision, boolean all, String state, List<Integer> ports) {
         List<String> targets = new ArrayList<>();
-        for (Stub server : servers) {
-            targets.add("{'uid':'s-" + server.port() + "','endpoint':'127.0.0.1:" + server.port()
+        for (int port : ports) {
+            targets.add("{'uid':'s-" + port + "','endpoint':'127.0.0.1:" + port
                     + "','az':'a','model':'m','pod_group':0,'state':'" + state + "','boot_ms':0}");
         }
         return "{'rev':" + revision + ",'all':" + all + ",'targets':[" + String.join(",", targets) + "]}";
     }
 
     Config config() throws IOException {
-        return Config.read(Map.of("LB_CONFIG", file.toString()));
+        return Config.read(environment());
+    }
+
+    /** With the file of extensions, once there is one. */
+    Map<String, String> environment() {
+        return Files.exists(extensions)
+                ? Map.of("LB_CONFIG", file.toString(), "LB_EXTENSIONS", extensions.toString())
+                : Map.of("LB_CONFIG", file.toString());
+    }
+
+    Harness extended(String quoted) throws IOException {
+        Files.writeString(extensions, json(quoted));
+        return this;
     }
 
     Harness start() throws Exception {
--- a/src/test/java/larkbank/sidecar/ProcessTest.java
+++ b/src/test/java/larkbank/sidecar/ProcessTest.java
@@ -141,6 +141,56 @@
         assertOneLine(Map.of("LB_CONFIG", file.toString()), message);
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "{'streamin':{}} | extensions.streamin: unknown name",
+        "{'streaming':7} | extensions.streaming: must be an object",
+        "{'streaming':{'classes':{'export':{}},'x':1}} | extensions.streaming.x: unknown name",
+        "{'streaming':{'classes':{'export':{'x':1}}}} | extensions.streaming.classes.export.x: unknown name",
+        "{'streaming':{'classes':{'nope':{}}}} | classes.nope: the settings have no such",
+        "{'streaming':{'classes':{'book':{'max_answer_bytes':1}}}} | max_answer_bytes: the settings do not",
+        "{'streaming':{'high_watermark_bytes':100,'low_watermark_bytes':100}} | must be below high",
+        "{'streaming':{'max_buffered_bytes':40000}} | one stream's window, ",
+        "{'streaming':{'max_buffered_bytes':-1}} | max_buffered_bytes: must be a whole number",
+        "{'streaming':{'max_buffered_bytes':99999999999999999999}} | must be a whole number",
+        "{'streaming':{'replay_bytes':3000000000}} | replay_bytes: must be a whole number",
+        "{'streaming':{'read_stall_ms':0}} | read_stall_ms: must be a whole number",
+        "{'streaming':{'drain_ms':1.5}} | drain_ms: must be a whole number",
+        "{'streaming':{},'streaming':{}} | not JSON",
+        "[] | not a JSON object",
+    })
+    void badExtensionsAreOnePlainLineAndTheOldOnesStay(String text, String message) throws Exception {
+        try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server)) {
+            harness.extended(text);
+            assertOneLine(harness.environment(), message);
+            harness.extended("{'streaming':{'classes':{'book':{'max_request_bytes':70000}}}}").start();
+            harness.extended(text).sidecar.reload(harness.environment());
+            String log = harness.log.toString(StandardCharsets.UTF_8);
+            assertTrue(log.contains(message) && log.contains("the old configuration stays"), log);
+            assertEquals(1, log.lines().count(), log);
+            // Still as the old ones say, and then as new ones do.
+            assertEquals(413, big(harness, 70_001));
+            harness.extended("{'streaming':{'classes':{'book':{'max_request_bytes':70001}}}}");
+            harness.sidecar.reload(harness.environment());
+            Harness.Client taken = harness.client();
+            taken.raw(Harness.Client.head("POST", "/book/k1", 2_000, "", 70_001)).raw("x".repeat(70_001));
+            assertEquals(70_001, server.take().request().body().length());
+        }
+    }
+
+    private static int big(Harness harness, int length) throws Exception {
+        return harness.client().raw(Harness.Client.head("POST", "/book/k1", 2_000, "", length)).answer()
+                .status();
+    }
+
+    @Test
+    void missingExtensionsAreOnePlainLine() throws Exception {
+        try (Harness harness = new Harness(folder, new Stub[0])) {
+            assertOneLine(Map.of("LB_CONFIG", harness.file.toString(), "LB_EXTENSIONS",
+                    folder.resolve("none").toString()), "none: can't be read");
+        }
+    }
+
     @Test
     void missingConfigurationIsOnePlainLine() {
         assertOneLine(Map.of(), "LB_CONFIG");
--- a/src/test/java/larkbank/sidecar/QuietModule.java
+++ b/src/test/java/larkbank/sidecar/QuietModule.java
@@ -11,6 +11,15 @@
     @Override
     public void request(long nowMicros, Request request) { }
 
+    @Override
+    public void buffers(long nowMicros, long mostBytes) { }
+
+    @Override
+    public void uploaded(long nowMicros, String requestId, long deadlineMicros) { }
+
+    @Override
+    public void replayLost(long nowMicros, String requestId) { }
+
     @Override
     public void streamBegan(long nowMicros, String requestId, int attempt, long server,
             long elapsedMicros) { }
