Read the configuration and the extensions through one reader of JSON files

JsonFile holds them once; an error in the extensions no longer carries the name of the configuration before its own.

--- a/src/main/java/larkbank/sidecar/Config.java
+++ b/src/main/java/larkbank/sidecar/Config.java
@@ -1,13 +1,8 @@
 package larkbank.sidecar;
 
 import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.FileSystemException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,17 +29,8 @@
         if (file == null || file.isEmpty()) {
             throw new IOException("LB_CONFIG names no file");
         }
-        try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(Path.of(file)))) {
-            return of(Json.document(parser), environment);
-        } catch (JsonProcessingException e) {
-            throw new IOException(file + ": not JSON: " + e.getOriginalMessage(), e);
-        } catch (IllegalArgumentException e) {
-            throw new IOException(file + ": " + e.getMessage(), e);
-        } catch (FileSystemException e) {
-            throw new IOException(file + ": can't be read", e);
-        } catch (IOException e) {
-            throw new IOException(file + ": " + e.getMessage(), e);
-        }
+        Config plain = JsonFile.read(file, new JsonFactory(), c -> of(c, environment));
+        return plain.with(Extensions.read(environment, plain.settings.classes()));
     }
 
     /** Reads the file of a running sidecar, which is newer than what the environment says of discovery. */
@@ -54,6 +40,11 @@
         return read(others);
     }
 
+    private Config with(Extensions others) {
+        return new Config(name, listen, discovery, sockets, settings, connectMicros, drainGraceMicros, known,
+                lists, others);
+    }
+
     /** The same with other servers, which nothing has to be asked for, other descriptors, no extensions. */
     Config with(int otherSockets, ServerList servers) {
         Settings s = settings;
@@ -84,7 +75,7 @@
         return new Config(name, listen, discovery, sockets, settings,
                 Json.whole(limits, "connect_timeout_us", 250_000),
                 Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists,
-                Extensions.read(environment, settings.classes()));
+                Extensions.NONE);
     }
 
     /**
--- a/src/main/java/larkbank/sidecar/Extensions.java
+++ b/src/main/java/larkbank/sidecar/Extensions.java
@@ -1,16 +1,10 @@
 package larkbank.sidecar;
 
 import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import java.io.IOException;
-import java.nio.file.FileSystemException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import larkbank.Json;
 import larkbank.LoadBalancer.RequestClass;
 import larkbank.Section;
 import larkbank.streaming.Streaming;
@@ -33,21 +27,12 @@
         // A name that stands twice would silently lose the first.
         JsonFactory strict = JsonFactory.builder()
                 .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
-        try (JsonParser parser = strict.createParser(Files.readAllBytes(Path.of(file)))) {
-            Map<String, Object> sections = Json.document(parser);
+        return JsonFile.read(file, strict, sections -> {
             Section all = new Section("extensions", sections);
             Streaming streaming = sections.containsKey("streaming")
                     ? Streaming.read(all.section("streaming"), classes) : Streaming.OFF;
             all.end();
             return new Extensions(streaming);
-        } catch (JsonProcessingException e) {
-            throw new IOException(file + ": not JSON: " + e.getOriginalMessage(), e);
-        } catch (IllegalArgumentException e) {
-            throw new IOException(file + ": " + e.getMessage(), e);
-        } catch (FileSystemException e) {
-            throw new IOException(file + ": can't be read", e);
-        } catch (IOException e) {
-            throw new IOException(file + ": " + e.getMessage(), e);
-        }
+        });
     }
 }
