--- a/src/main/java/larkbank/Choice.java
+++ b/src/main/java/larkbank/Choice.java
@@ -88,7 +88,6 @@
     private long lastToken;
 
     private final double[] usualMicros, tenantCredit, classFaults;
-
     private double[] kindPace = {}, zonePace = {};
     private final ZoneLimit[] zoneLimits;
     private double usualHint, retryTokens = RETRY_SAVED / 2;
@@ -146,8 +145,10 @@
         final long sentAt, idle;
         final double usual, load, expected;
         final boolean fresh;
-        /** Its answer has begun, and with it all has been learnt that its time tells. */
-        boolean suspected, streams;
+        /** From when its server owes an answer: its sending, or the last byte of an upload. */
+        long since;
+        /** Counted as in flight; its answer has begun, and all has been learnt that its time tells. */
+        boolean suspected, counted, streams;
         Result result;
 
         Attempt(Pending of, Backend server, long now, double usual, double load, boolean warm) {
@@ -156,7 +157,7 @@
             this.usual = usual;
             this.load = load;
             number = of.attempts.size();
-            sentAt = now;
+            sentAt = since = now;
             expected = usual * Math.max(1, server.pace) * (1 + load);
             fresh = !warm;
             idle = warm ? now - server.usedAt : 0;
@@ -189,7 +190,6 @@
             double aim = Math.max(1, c.aimMicros() > 0 ? c.aimMicros() : c.deadlineMicros());
             usualMicros[i] = aim * FIRST_GUESS;
             aims += aim;
-
             safe |= c.effect() == Effect.SAFE;
         }
         aimMicros = aims / classes;
@@ -614,7 +614,7 @@
     /** Peak EWMA, and at least the age of the oldest attempt: a hanging server never gives a sample. */
     private double slowness(long now, Backend b) {
         Attempt oldest = oldest(b);
-        double age = oldest == null ? 0 : (now - oldest.sentAt) / (oldest.usual * (1 + oldest.load));
+        double age = oldest == null ? 0 : (now - oldest.since) / (oldest.usual * (1 + oldest.load));
         return Math.max(known(now, b), age);
     }
 
@@ -721,7 +721,6 @@
     /** The single place of sending. The checks repeat what the pick has seen, so no path can pass them by. */
     private void send(long now, Pending p, Backend b) {
         long left = p.deadline - now;
-
         if (p.over || p.streaming || p.spent || !b.usable || p.out > 0 || !mayRunOn(now, p, b) || left <= 0
                 || p.attempts.size() >= Math.max(1, settings.limits().attempts())
                 || !p.attempts.isEmpty() && !extraAllowed(now)) {
@@ -739,12 +738,10 @@
             retryTokens--;
             if (settings.rules().lookBackMicros() > 0) extras.addLast(new long[] {now, taken});
         }
-        // A server owes nothing before a body's last byte, so while that comes its silence tells nothing.
-        if (!p.uploading) outstanding.add(a);
+        // Before a body's last byte a server has nothing to do: neither work in flight nor silence counts.
+        if (!p.uploading) owed(now, a);
         p.attempts.add(a);
         p.out++;
-        b.out.addLast(a);
-        zoneLimit(b).sent();
         actions.send(p.request.id(), b.id, 0);
     }
 
@@ -801,11 +798,9 @@
         if (a.result != null) return;
         a.result = o.result();
         p.out--;
+        settled(a);
         if (a.streams) streamed(now, a, o);
-        else {
-            settled(a);
-            learn(now, a, o);
-        }
+        else learn(now, a, o);
         if (o.closed()) {
             over(p);
         } else if (!p.over && p.out == 0 && !p.queued) again(now, p);
@@ -813,8 +808,19 @@
         pump(now);
     }
 
-    /** It no longer waits for an answer. */
+    /** From now on its server owes an answer. */
+    private void owed(long now, Attempt a) {
+        a.since = now;
+        a.counted = true;
+        outstanding.add(a);
+        a.server.out.addLast(a);
+        zoneLimit(a.server).sent();
+    }
+
+    /** It no longer does. */
     private void settled(Attempt a) {
+        if (!a.counted) return;
+        a.counted = false;
         zoneLimit(a.server).ended();
         a.server.out.remove(a);
         outstanding.remove(a);
@@ -943,8 +949,8 @@
     /** Looks at attempts without an answer for far longer than expected; the list is in order of sending. */
     private void watch(long now) {
         for (Attempt a : outstanding) {
-            if (now - a.sentAt < aimMicros / 2) break;
-            if (!a.suspected && now - a.sentAt > HANGING * a.expected) suspect(now, a, true);
+            if (now - a.since < aimMicros / 2) break;
+            if (!a.suspected && now - a.since > HANGING * a.expected) suspect(now, a, true);
         }
     }
 
@@ -960,16 +966,14 @@
             b.suspectedAt = now;
         }
         faulty(now, b, a.of.requestClass);
-        if (b.usedAt <= a.sentAt && a.idle > aimMicros / 4 && b.pace < SPILL) {
+        if (b.usedAt <= a.since && a.idle > aimMicros / 4 && b.pace < SPILL) {
             idleTrust = Math.min(trust(now), a.idle) / 2;
             distrustedAt = now;
-
             b.usedAt = 0;
             actions.log("idle connections are not trusted: no answer after " + a.idle / 1000 + " ms idle");
             return;
         }
-
-        if (b.usedAt <= a.sentAt) eject(now, b, "no answer for " + (now - a.sentAt) / 1000 + " ms");
+        if (b.usedAt <= a.since) eject(now, b, "no answer for " + (now - a.since) / 1000 + " ms");
     }
 
     /** A class that is turned away or fails while others are served must not look fast or idle. */
@@ -1073,6 +1077,7 @@
         p.deadline = deadlineMicros;
         p.aimAt += now - p.arrivedAt;
         p.arrivedAt = now;
+        if (p.out > 0) owed(now, p.attempts.get(p.attempts.size() - 1));
     }
 
     @Override
--- a/src/main/java/larkbank/sidecar/ClientServer.java
+++ b/src/main/java/larkbank/sidecar/ClientServer.java
@@ -46,6 +46,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import larkbank.streaming.Buffers;
 import larkbank.streaming.Flow;
 import larkbank.streaming.Streaming;
 import larkbank.streaming.Upload;
@@ -113,6 +114,7 @@
     private boolean ending;
     private long endedAt;
     private Streaming streaming = Streaming.OFF;
+    private final Buffers buffers = new Buffers();
     private long acceptedAt = System.nanoTime();
 
     ClientServer(EventLoop loop, Service service, int most, Consumer<String> log) {
@@ -149,6 +151,11 @@
         streaming = next;
     }
 
+    /** What bodies that pass through hold. */
+    Buffers buffers() {
+        return buffers;
+    }
+
     /** Closes all at once, whoever waits; the address is free when that is done. */
     ChannelFuture close() {
         List.copyOf(connections).forEach(c -> c.channel.close());
@@ -448,7 +455,7 @@
             awaited = false;
             client = new Exchange(head);
             client.continues = HttpUtil.is100ContinueExpected(head);
-            client.upload = new Upload(streaming, most, client::readClient);
+            client.upload = new Upload(streaming, buffers, most, client::readClient);
             try {
                 service.take(head, client.upload, client);
             } catch (RequestReader.BadRequest e) {
@@ -650,7 +657,7 @@
                     return;
                 }
                 bounds = limits;
-                flow = new Flow(limits, source);
+                flow = new Flow(limits, buffers, source);
                 HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                         headers);
                 endsByClose = length < 0 && !knowsChunks;
--- a/src/main/java/larkbank/sidecar/Sidecar.java
+++ b/src/main/java/larkbank/sidecar/Sidecar.java
@@ -215,6 +215,10 @@
         clients.end(() -> {
             discovery.close();
             pool.close();
+            if (clients.buffers().most() > 0) {
+                log("streams held " + clients.buffers().most() + " bytes at the most, "
+                        + clients.buffers().held() + " at the end");
+            }
             ended.run();
         });
     }
--- a/src/main/java/larkbank/streaming/Flow.java
+++ b/src/main/java/larkbank/streaming/Flow.java
@@ -20,6 +20,7 @@
     private static final int PART_BYTES = 256;
 
     private final Streaming bounds;
+    private final Buffers buffers;
     private final Source source;
     private long waiting;
     private boolean held;
@@ -29,8 +30,9 @@
     private long broughtAt = System.nanoTime();
     private long takenAt = broughtAt;
 
-    public Flow(Streaming bounds, Source source) {
+    public Flow(Streaming bounds, Buffers buffers, Source source) {
         this.bounds = bounds;
+        this.buffers = buffers;
         this.source = source;
     }
 
@@ -60,6 +62,7 @@
             takenAt = broughtAt;
         }
         waiting += weight;
+        buffers.add(weight);
         adjust();
     }
 
@@ -67,6 +70,7 @@
     public void taken(int weight) {
         takenAt = System.nanoTime();
         waiting -= weight;
+        buffers.add(-weight);
         adjust();
     }
 
--- a/src/main/java/larkbank/streaming/Upload.java
+++ b/src/main/java/larkbank/streaming/Upload.java
@@ -26,6 +26,7 @@
 
     private final Streaming bounds;
     private final long most;
+    private final Buffers buffers;
     private final Flow flow;
     private final ByteBuf kept = Unpooled.buffer(0);
     private Listener listener;
@@ -37,10 +38,11 @@
     private Runnable written;
 
     /** At most so many bytes; the source is held until there is a server. */
-    public Upload(Streaming bounds, long most, Flow.Source source) {
+    public Upload(Streaming bounds, Buffers buffers, long most, Flow.Source source) {
         this.bounds = bounds;
+        this.buffers = buffers;
         this.most = most;
-        flow = new Flow(bounds, source);
+        flow = new Flow(bounds, buffers, source);
         flow.hold(true);
     }
 
@@ -61,6 +63,7 @@
         }
         if (!lost) {
             kept.writeBytes(part, part.readerIndex(), part.readableBytes());
+            buffers.add(part.readableBytes());
         }
         if (taker != null) {
             write(Flow.tight(part));
@@ -168,6 +171,7 @@
     }
 
     private void forget() {
+        buffers.add(-kept.readableBytes());
         kept.clear().capacity(0);
     }
 }
--- a/src/test/java/larkbank/StreamsTest.java
+++ b/src/test/java/larkbank/StreamsTest.java
@@ -100,6 +100,21 @@
         assertTrue(!ejected(r), r.actions.toString());
     }
 
+    /** A body on its way is no work yet, so many may come at once; what has come whole fills the server. */
+    @Test
+    void uploadsCountAsWorkFromTheirLastByte() {
+        Recorder r = recorder(Effect.UNSAFE, 1);
+        for (int i = 0; i < 20; i++) {
+            upload(r, "u" + i, 1);
+        }
+        assertEquals(20, r.sent.size());
+        for (int i = 0; i < 20; i++) {
+            r.choice.uploaded(r.now, "u" + i, r.now + 1_000_000);
+        }
+        r.request("held");
+        assertEquals(20, r.sent.size());
+    }
+
     /** Kept whole, it may go out again within the time that its client has from the last byte. */
     @Test
     void timeOfAnUploadRunsFromItsLastByte() {
