Test that streams stay within their window and end with a client that leaves, calls off or not

Two tests of stalled takers now read what was held at the most from the log: the watermark and two reads. A client that leaves is played with settings that let no attempt be called off too. No change of the program.

--- a/src/test/java/larkbank/sidecar/StreamingTest.java
+++ b/src/test/java/larkbank/sidecar/StreamingTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -16,6 +17,8 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import larkbank.streaming.Streaming;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -163,9 +166,14 @@
         assertThrows(java.net.SocketException.class, () -> client.bytes(1));
     }
 
-    @Test
-    void clientThatLeavesMidAnswerFreesTheServerAndItsBuffers() throws Exception {
-        start(ROOM_FOR_ONE);
+    /** Also where the settings let no attempt be called off: such an answer has nowhere to go. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void clientThatLeavesMidAnswerFreesTheServerAndItsBuffers(boolean cancelling) throws Exception {
+        harness = new Harness(folder, 250_000, 1024, List.of(server.port()));
+        Files.writeString(harness.file, Files.readString(harness.file)
+                .replace("\"cancelling\":true", "\"cancelling\":" + cancelling));
+        harness.extended(ON.replace("MORE", ROOM_FOR_ONE)).start();
         for (int i = 0; i < 3; i++) {
             try (Wire one = Wire.to(harness.address)) {
                 Wire to = export(one);
@@ -201,7 +209,7 @@
 
     @Test
     void readerThatTakesNothingIsGivenUp() throws Exception {
-        start(",'write_stall_ms':100");
+        start(",'write_stall_ms':100,'high_watermark_bytes':5000");
         Wire to = export(client);
         to.raw("HTTP/1.1 200 OK\r\nContent-Length: 90000000\r\n\r\n");
         assertThrows(IOException.class, () -> {
@@ -211,6 +219,18 @@
         });
         client.head();
         assertThrows(IOException.class, () -> client.bytes(90_000_000));
+        assertBounded();
+    }
+
+    /** However much the one side brought, no more was held than the watermark and two reads. */
+    private void assertBounded() throws Exception {
+        client.close();
+        assertTrue(harness.stop().await(10, TimeUnit.SECONDS));
+        Matcher held = Pattern.compile("streams held (\\d+) bytes at the most, 0 at the end").matcher(
+                harness.log.toString());
+        assertTrue(held.find(), harness.log.toString());
+        long most = Long.parseLong(held.group(1));
+        assertTrue(most >= 5000 && most < 5000 + 2 * Streaming.READ_BYTES, "held " + most);
     }
 
     @Test
@@ -497,7 +517,7 @@
 
     @Test
     void serverThatTakesNothingIsGivenUp() throws Exception {
-        start(",'write_stall_ms':100,'replay_bytes':4");
+        start(",'write_stall_ms':100,'replay_bytes':4,'high_watermark_bytes':5000");
         client.raw(append("Content-Length: 90000000"));
         Wire to = answering();
         Thread writing = new Thread(() -> {
@@ -513,6 +533,7 @@
         assertEquals("HTTP/1.1 503 Service Unavailable", client.head().get(""));
         to.awaitEnd();
         writing.join();
+        assertBounded();
     }
 
     /** Nothing hidden is passed on: the server never sees the end of such a body. */
