Let the emulated clients, servers and discovery serve other hosts; say who plays a fault

A rig of real processes has to meet the same clients, servers, lists and faults as the emulator, or the two can't be held against each other.

A fault says which side can play it, and one that can't is an error with file, line and name. New words: deaf for both sides; reborn, stop_sidecars, slow_sidecars, cut_sidecars, flap_links, delay_links, cut_bytes and power_loss for real processes.

--- a/lab/src/main/java/sagefall/lab/command/Setting.java
+++ b/lab/src/main/java/sagefall/lab/command/Setting.java
@@ -16,6 +16,7 @@
 import sagefall.lab.model.Rules;
 import sagefall.lab.policy.PolicyException;
 import sagefall.lab.report.DayFiles;
+import sagefall.lab.scenario.Fault;
 import sagefall.lab.scenario.Scenario;
 import sagefall.lab.scenario.ScenarioException;
 
@@ -48,13 +49,13 @@
     }
 
     Scenario scenario(String name) throws IOException, ScenarioException {
-        return Scenario.load(name, sets);
+        return Scenario.load(name, sets).on(Fault.Side.EMULATOR);
     }
 
     Scenario scenario(String name, String set) throws IOException, ScenarioException {
         List<String> all = new ArrayList<>(sets);
         all.add(set);
-        return Scenario.load(name, all);
+        return Scenario.load(name, all).on(Fault.Side.EMULATOR);
     }
 
     List<Long> seeds() throws PolicyException {
--- a/lab/src/main/java/sagefall/lab/model/Call.java
+++ b/lab/src/main/java/sagefall/lab/model/Call.java
@@ -5,13 +5,13 @@
 import sagefall.LoadBalancer.Result;
 
 /** One try of a client at one sidecar: a request with an id of its own. */
-final class Call {
-    final String id;
-    final Wish wish;
-    final long takenAt;
-    final long deadline;
+public final class Call {
+    public final String id;
+    public final Wish wish;
+    public final long takenAt;
+    public final long deadline;
     /** It has its final answer, or its client has gone. */
-    boolean over;
+    public boolean over;
     int out;
     final List<Attempt> attempts = new ArrayList<>(1);
 
@@ -23,7 +23,7 @@
     }
 
     /** One sending of it to one server. */
-    static final class Attempt {
+    static final class Attempt extends Job {
         final Call call;
         final Sidecar sidecar;
         final int life;
@@ -36,9 +36,6 @@
         /** The client has its answer from this attempt: what the server did was no waste. */
         boolean used;
         Result result;
-        /** What is left to do, in microseconds on a core of speed 1, and what there was. */
-        double left;
-        double work;
 
         Attempt(Call call, Sidecar sidecar, int number, SaveServer server, long sentAt) {
             this.call = call;
@@ -48,5 +45,10 @@
             this.server = server;
             this.sentAt = sentAt;
         }
+
+        @Override
+        protected boolean knowsStart(SaveServer server) {
+            return sidecar.knowsStart(server);
+        }
     }
 }
--- a/lab/src/main/java/sagefall/lab/model/ColdBudget.java
+++ b/lab/src/main/java/sagefall/lab/model/ColdBudget.java
@@ -8,7 +8,7 @@
  * capacity. Each request counts as the mean work, as no sidecar can know that one is long, and a few requests
  * are slack for chance.
  */
-final class ColdBudget {
+public final class ColdBudget {
 
     private static final double SLACK = 3;
 
@@ -21,7 +21,7 @@
     private int told;
 
     /** Spans in microseconds, work in microseconds on a core of speed 1. */
-    ColdBudget(double multiple, long spanMicros, double meanWork) {
+    public ColdBudget(double multiple, long spanMicros, double meanWork) {
         this.multiple = multiple;
         this.spanMicros = spanMicros;
         this.meanWork = meanWork;
@@ -39,7 +39,7 @@
      * @param byOneThatKnew whether its sidecar knew the server as new
      * @param capacity work that the server gets done in a microsecond, as cold as it is now
      */
-    boolean spent(long now, boolean byOneThatKnew, double capacity) {
+    public boolean spent(long now, boolean byOneThatKnew, double capacity) {
         sent.add(new Sent(now, byOneThatKnew));
         told += byOneThatKnew ? 1 : 0;
         while (sent.peek().at < now - spanMicros) {
@@ -49,7 +49,7 @@
     }
 
     /** The part of the span's work that came from sidecars that knew the server as new. */
-    double told() {
+    public double told() {
         return told / (double) sent.size();
     }
 }
--- a/lab/src/main/java/sagefall/lab/model/Day.java
+++ b/lab/src/main/java/sagefall/lab/model/Day.java
@@ -181,18 +181,9 @@
 
     /** It stands still for a while, every so often, until then. */
     void pauses(SaveServer s, long every, long micros, long until) {
-        long next = loop.now() + (long) (every * (0.5 + chances.nextDouble()));
-        if (micros <= 0 || next >= until) {
-            return;
-        }
-        loop.at(next, () -> {
-            s.pauses++;
+        Pauses.begin(loop, chances, every, micros, until, by -> {
+            s.pauses += by;
             s.settle();
-            loop.in(micros, () -> {
-                s.pauses--;
-                s.settle();
-                pauses(s, every, micros, until);
-            });
         });
     }
 
@@ -375,7 +366,8 @@
     }
 
     @Override
-    public void done(Attempt a) {
+    public void done(Job job) {
+        Attempt a = (Attempt) job;
         ledger.workDone += a.work;
         double luck = chances.nextDouble();
         if (luck < resets) {
@@ -407,7 +399,8 @@
     }
 
     @Override
-    public void broken(Attempt a) {
+    public void broken(Job job) {
+        Attempt a = (Attempt) job;
         ledger.workWasted += a.work;
         if (!network.cut(a.server.zone, a.sidecar.zone())) {
             loop.in(network.way(a.server.zone, a.sidecar.zone()), () -> a.sidecar.end(a, Result.BROKEN,
--- a/lab/src/main/java/sagefall/lab/model/Discovery.java
+++ b/lab/src/main/java/sagefall/lab/model/Discovery.java
@@ -14,13 +14,13 @@
  * What is known of the servers, and when each sidecar hears of it: a change is noticed after a while, goes
  * into the next list, and reaches one sidecar after another.
  */
-final class Discovery {
+public final class Discovery {
 
     /** By which part of the usual time one server is noticed sooner or later than another. */
     private static final double UNLIKE = 0.3;
 
     private final Loop loop;
-    private final List<Sidecar> sidecars;
+    private final List<? extends Subscriber> sidecars;
     private final Map<Long, Server> known = new LinkedHashMap<>();
     private final Map<Long, Server> changed = new LinkedHashMap<>();
     private final UniformRandomProvider random;
@@ -29,11 +29,13 @@
     private final double add;
     private final long period;
     private final long[] lag;
+    /** Who hears of no change; how many troubles keep it from that. */
+    private final int[] deaf;
     /** How many times as long everything takes; and how many troubles keep it from saying anything. */
-    double late = 1;
-    int down;
+    public double late = 1;
+    public int down;
 
-    Discovery(Scenario.Listing listing, Draws draws, Loop loop, List<Sidecar> sidecars) {
+    public Discovery(Scenario.Listing listing, Draws draws, Loop loop, List<? extends Subscriber> sidecars) {
         this.loop = loop;
         this.sidecars = sidecars;
         notice = 1e6 * listing.noticeSeconds().draw(draws, "discovery.notice");
@@ -43,18 +45,19 @@
         double spread = 1000 * listing.spreadMillis().draw(draws, "discovery.spread");
         random = draws.stream("discovery.lag");
         lag = new long[sidecars.size()];
+        deaf = new int[lag.length];
         for (int i = 0; i < lag.length; i++) {
             lag[i] = (long) (spread * random.nextDouble());
         }
     }
 
     /** Before the day begins. */
-    void first(Iterable<SaveServer> servers) {
+    public void first(Iterable<SaveServer> servers) {
         servers.forEach(s -> known.put(s.id, line(s, Phase.READY)));
         loop.in(period, this::publish);
     }
 
-    List<Server> list() {
+    public List<Server> list() {
         return new ArrayList<>(known.values());
     }
 
@@ -64,7 +67,7 @@
     }
 
     /** A server has started. */
-    void started(SaveServer s) {
+    public void started(SaveServer s) {
         int epoch = s.epoch;
         loop.in(after(add), () -> {
             if (epoch == s.epoch && s.state == SaveServer.State.UP) {
@@ -74,7 +77,7 @@
     }
 
     /** A server is to be replaced. */
-    void draining(SaveServer s) {
+    public void draining(SaveServer s) {
         loop.in(after(notice), () -> {
             Server now = known.get(s.id);
             if (now != null) {
@@ -84,7 +87,7 @@
     }
 
     /** A server's process has ended; known once it is noticed that it does not run, if it still does not. */
-    void ended(SaveServer s) {
+    public void ended(SaveServer s) {
         int epoch = s.epoch;
         loop.in(after(s.state == SaveServer.State.SILENT ? silent : notice), () -> {
             if (epoch == s.epoch && s.state != SaveServer.State.UP && known.containsKey(s.id)) {
@@ -99,7 +102,7 @@
     }
 
     /** From when all sidecars have heard of what is to drain, at the latest. */
-    long settled() {
+    public long settled() {
         return (long) (notice * late * (1 + UNLIKE)) + period + 1_000_000;
     }
 
@@ -116,10 +119,10 @@
         if (!changed.isEmpty() && down == 0) {
             List<Server> lines = List.copyOf(changed.values());
             changed.clear();
-            for (Sidecar s : sidecars) {
+            for (Subscriber s : sidecars) {
                 int life = s.life();
                 loop.in((long) (lag[s.index()] * late), () -> {
-                    if (life == s.life()) {
+                    if (life == s.life() && deaf[s.index()] == 0) {
                         s.list(ListKind.CHANGES, lines);
                     }
                 });
@@ -128,14 +131,22 @@
         loop.in(period, this::publish);
     }
 
+    /** From now on, or no longer, one hears of no change; in the end it gets the whole list. */
+    public void deaf(Subscriber s, boolean on) {
+        deaf[s.index()] += on ? 1 : -1;
+        if (!on && deaf[s.index()] == 0) {
+            ask(s);
+        }
+    }
+
     /** A sidecar that has just started asks for the whole list. */
-    void ask(Sidecar s) {
+    public void ask(Subscriber s) {
         int life = s.life();
         loop.in(lag[s.index()] / 4 + 1, () -> {
             if (life != s.life()) {
                 return;
             }
-            if (down > 0) {
+            if (down > 0 || deaf[s.index()] > 0) {
                 ask(s);
             } else {
                 s.list(ListKind.COMPLETE, list());
--- a/lab/src/main/java/sagefall/lab/model/Facts.java
+++ b/lab/src/main/java/sagefall/lab/model/Facts.java
@@ -6,7 +6,7 @@
 import sagefall.lab.scenario.Scenario;
 
 /** The settings of a scenario as an instance is told them, in the words of the wire. */
-final class Facts {
+public final class Facts {
 
     private Facts() { }
 
@@ -14,7 +14,7 @@
         return (long) (1000 * millis);
     }
 
-    static Map<String, Object> of(Scenario scenario) {
+    public static Map<String, Object> of(Scenario scenario) {
         Scenario.Service s = scenario.service();
         Map<String, Object> facts = new LinkedHashMap<>();
         facts.put("classes", List.of(Map.of("name", "save", "effect", s.effect(), "group", s.group(),
--- a/lab/src/main/java/sagefall/lab/model/Fleet.java
+++ b/lab/src/main/java/sagefall/lab/model/Fleet.java
@@ -9,7 +9,7 @@
 import sagefall.lab.scenario.Scenario;
 
 /** Makes the servers of a day: ids that tell nothing, unlike speeds, zones of unlike size, cells. */
-final class Fleet {
+public final class Fleet {
 
     private final Scenario scenario;
     private final Draws draws;
@@ -20,7 +20,7 @@
     private final Set<Long> ids = new HashSet<>();
     private final List<SaveServer> first = new ArrayList<>();
 
-    Fleet(Scenario scenario, Draws draws, Loop loop, double[] sharedSlow, SaveServer.Floor floor) {
+    public Fleet(Scenario scenario, Draws draws, Loop loop, double[] sharedSlow, SaveServer.Floor floor) {
         this.scenario = scenario;
         this.draws = draws;
         this.loop = loop;
@@ -42,12 +42,12 @@
         }
     }
 
-    List<SaveServer> first() {
+    public List<SaveServer> first() {
         return first;
     }
 
     /** Work that all servers together get done in a microsecond, warm and untroubled. */
-    double capacity() {
+    public double capacity() {
         return first.stream().mapToDouble(s -> Math.min(s.make.slots(), s.make.cores()) * s.make.speed())
                 .sum();
     }
@@ -99,7 +99,7 @@
     }
 
     /** A machine of the same kind in the same place, with another id. */
-    SaveServer replacement(SaveServer old) {
+    public SaveServer replacement(SaveServer old) {
         return new SaveServer(id(), old.zone, old.cell, make(old.make.kind()), loop, sharedSlow, floor);
     }
 }
--- a/lab/src/main/java/sagefall/lab/model/Ledger.java
+++ b/lab/src/main/java/sagefall/lab/model/Ledger.java
@@ -51,14 +51,14 @@
 
     long firstTries;
     long tries;
-    long attempts;
-    long crossings;
-    long setups;
-    double workDone;
-    double workWasted;
+    public long attempts;
+    public long crossings;
+    public long setups;
+    public double workDone;
+    public double workWasted;
     double lateWorth;
 
-    Ledger(int seconds, int zones, int tenants, double overShareWorth) {
+    public Ledger(int seconds, int zones, int tenants, double overShareWorth) {
         this.seconds = seconds;
         this.zones = zones;
         this.overShareWorth = new double[] {1, overShareWorth};
--- a/lab/src/main/java/sagefall/lab/model/Loop.java
+++ b/lab/src/main/java/sagefall/lab/model/Loop.java
@@ -42,6 +42,11 @@
         at(now + micros, run);
     }
 
+    /** When the next event is due; the end of time where there is none. */
+    public long nextAt() {
+        return events.isEmpty() ? Long.MAX_VALUE : events.peek().at;
+    }
+
     /** Lets everything happen that is due until then. */
     public void runUntil(long end) {
         while (!events.isEmpty() && events.peek().at <= end) {
--- a/lab/src/main/java/sagefall/lab/model/Network.java
+++ b/lab/src/main/java/sagefall/lab/model/Network.java
@@ -7,7 +7,7 @@
  * The ways between zones: latency, jitter, and cuts in one or both directions. What meets a cut is lost and
  * not sent anew later; a real TCP would repeat it after the cut, mostly too late for its aim.
  */
-final class Network {
+public final class Network {
 
     private final double same;
     private final double cross;
@@ -16,7 +16,7 @@
     private final UniformRandomProvider random;
     private final int[][] cuts;
 
-    Network(Scenario.Net net, Draws draws, int zones) {
+    public Network(Scenario.Net net, Draws draws, int zones) {
         same = 1000 * net.sameMillis().draw(draws, "net.same");
         cross = 1000 * net.crossMillis().draw(draws, "net.cross");
         client = 1000 * net.clientMillis().draw(draws, "net.client");
@@ -26,9 +26,14 @@
     }
 
     /** Microseconds of one way. */
-    long way(int from, int to) {
+    public long way(int from, int to) {
+        return way(from, to, random);
+    }
+
+    /** The same by other random numbers. */
+    public long way(int from, int to, UniformRandomProvider chances) {
         double base = from == to ? same : cross;
-        return 1 + (long) (base * (1 - jitter * Math.log(1 - random.nextDouble())));
+        return 1 + (long) (base * (1 - jitter * Math.log(1 - chances.nextDouble())));
     }
 
     /** Microseconds between a client and its sidecar. */
@@ -36,12 +41,12 @@
         return 1 + (long) client;
     }
 
-    boolean cut(int from, int to) {
+    public boolean cut(int from, int to) {
         return cuts[from][to] > 0;
     }
 
     /** Begins or, with -1, ends a cut between a zone and all others, for what goes in, out, or both. */
-    void cut(int zone, boolean in, boolean out, int by) {
+    public void cut(int zone, boolean in, boolean out, int by) {
         for (int other = 0; other < cuts.length; other++) {
             if (other != zone) {
                 cuts[other][zone] += in ? by : 0;
--- a/lab/src/main/java/sagefall/lab/model/SaveServer.java
+++ b/lab/src/main/java/sagefall/lab/model/SaveServer.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import sagefall.LoadBalancer.LoadReport;
-import sagefall.lab.model.Call.Attempt;
 
 /**
  * A save server: slots that work side by side, a bounded waiting room, and a capacity that depends on how
@@ -16,21 +15,22 @@
 public final class SaveServer {
 
     /** What its process does. */
-    enum State { UP, DRAINING, SILENT, DEAD }
+    public enum State { UP, DRAINING, SILENT, DEAD }
 
     /** What a server is made of. Speeds are relative to a core of 1. */
-    record Make(int kind, int cores, double speed, int slots, int queue, double thrash, double thrashAt,
+    public record Make(int kind, int cores, double speed, int slots, int queue, double thrash,
+            double thrashAt,
             double coldFrom, long coldMicros, boolean warmsByWork, double errors, long pauseEvery,
             long pauseMicros, int connections, double tableTax, int keys, double keyGain, long keyMicros,
             long reportMicros) { }
 
     /** What becomes of attempts at a server. */
-    interface Floor {
+    public interface Floor {
         /** An attempt has been worked on to its end. */
-        void done(Attempt attempt);
+        void done(Job job);
 
         /** The process ended under an attempt, and the other side hears of it. */
-        void broken(Attempt attempt);
+        void broken(Job job);
 
         /** A cold server was sent more than it bears; told is the part from sidecars that knew it as new. */
         void fell(SaveServer server, double told);
@@ -40,29 +40,29 @@
     /** Where work warms as well: part of what a warm server does in that time after which it is warm. */
     private static final double WARM_WORK = 0.3;
 
-    final long id;
-    final int zone;
-    final int cell;
-    final Make make;
+    public final long id;
+    public final int zone;
+    public final int cell;
+    public final Make make;
     private final Loop loop;
     private final Floor floor;
     private final double[] sharedSlow;
 
-    State state = State.UP;
+    public State state = State.UP;
     int epoch;
     /** Of its process; 0 means long ago. */
-    long startedAt;
+    public long startedAt;
     /** Whether its last end was told to the other side of its connections. */
     boolean endedSilently;
-    int connections;
-    double slow = 1;
-    double stolen;
-    double errors;
-    int pauses;
-
-    private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
-    private final List<Attempt> running = new ArrayList<>();
-    private final List<Attempt> hanging = new ArrayList<>();
+    public int connections;
+    public double slow = 1;
+    public double stolen;
+    public double errors;
+    public int pauses;
+
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private final List<Job> running = new ArrayList<>();
+    private final List<Job> hanging = new ArrayList<>();
     private final Map<Long, Long> keys;
     private double rate;
     private long advancedAt;
@@ -72,7 +72,7 @@
     private ColdBudget budget;
     private double warmed;
 
-    SaveServer(long id, int zone, int cell, Make make, Loop loop, double[] sharedSlow, Floor floor) {
+    public SaveServer(long id, int zone, int cell, Make make, Loop loop, double[] sharedSlow, Floor floor) {
         this.id = id;
         this.zone = zone;
         this.cell = cell;
@@ -95,7 +95,7 @@
     }
 
     /** What it bears while it is cold; without one it bears anything. */
-    void bears(ColdBudget cold) {
+    public void bears(ColdBudget cold) {
         budget = cold;
     }
 
@@ -114,7 +114,7 @@
     }
 
     /** From its cold share to 1, evenly in time or, if that is sooner, in the work that it has done. */
-    private double warmth(long at) {
+    public double warmth(long at) {
         if (startedAt == 0) {
             return 1;
         }
@@ -136,24 +136,24 @@
     double backlog() {
         advance();
         double sum = 0;
-        for (Attempt a : running) {
+        for (Job a : running) {
             sum += a.left;
         }
-        for (Attempt a : waiting) {
+        for (Job a : waiting) {
             sum += a.left;
         }
         return sum;
     }
 
     /** Requests that it holds. */
-    int held() {
+    public int held() {
         return running.size() + waiting.size();
     }
 
     // ---- Work
 
     /** A request has come whole; whether there is room for it. */
-    boolean take(Attempt a) {
+    public boolean take(Job a) {
         if (cold() && fall(a)) {
             return false;
         }
@@ -171,7 +171,7 @@
     }
 
     /** Whether a key was met so lately that its work is less; it has been met now. */
-    double keyed(long key) {
+    public double keyed(long key) {
         Long last = make.keys == 0 ? null : keys.put(key, loop.now());
         return last != null && loop.now() - last <= make.keyMicros ? 1 - make.keyGain : 1;
     }
@@ -184,7 +184,7 @@
         }
         // A slot is a core or a part of one.
         double each = micros * rate * Math.min(1, make.cores / (double) running.size());
-        for (Attempt a : running) {
+        for (Job a : running) {
             a.left -= each;
         }
         double cores = Math.min(make.cores, running.size());
@@ -193,7 +193,7 @@
     }
 
     /** Something has changed: plans when the next request will be done. */
-    void settle() {
+    public void settle() {
         advance();
         rate = rate();
         int mine = ++plan;
@@ -201,7 +201,7 @@
             return;
         }
         double least = Double.POSITIVE_INFINITY;
-        for (Attempt a : running) {
+        for (Job a : running) {
             least = Math.min(least, a.left);
         }
         double each = rate * Math.min(1, make.cores / (double) Math.max(1, running.size()));
@@ -221,7 +221,7 @@
     private void complete() {
         advance();
         for (int i = 0; i < running.size();) {
-            Attempt a = running.get(i);
+            Job a = running.get(i);
             if (a.left > 1e-6) {
                 i++;
                 continue;
@@ -239,11 +239,11 @@
     // ---- Its process
 
     /** The process ends, or its machine vanishes; what it held is gone. */
-    void end(boolean silently) {
+    public void end(boolean silently) {
         advance();
         state = silently ? State.SILENT : State.DEAD;
         endedSilently = silently;
-        List<Attempt> lost = new ArrayList<>(running);
+        List<Job> lost = new ArrayList<>(running);
         lost.addAll(waiting);
         running.clear();
         waiting.clear();
@@ -258,12 +258,12 @@
     }
 
     /** A request was written to a machine that says nothing. */
-    void hang(Attempt a) {
+    void hang(Job a) {
         hanging.add(a);
     }
 
     /** A new process, cold; connections to the old one are reset now at the latest. */
-    void start() {
+    public void start() {
         state = State.UP;
         epoch++;
         startedAt = loop.now();
@@ -272,16 +272,16 @@
             budget.clear();
         }
         advancedAt = loop.now();
-        List<Attempt> lost = new ArrayList<>(hanging);
+        List<Job> lost = new ArrayList<>(hanging);
         hanging.clear();
         lost.forEach(floor::broken);
         settle();
     }
 
     /** Books what is sent to it while it is cold; whether it falls over by that. */
-    private boolean fall(Attempt a) {
+    private boolean fall(Job a) {
         double capacity = make.cores * make.speed * warmth(loop.now());
-        if (budget == null || !budget.spent(loop.now(), a.sidecar.knowsStart(this), capacity)) {
+        if (budget == null || !budget.spent(loop.now(), a.knowsStart(this), capacity)) {
             return false;
         }
         double told = budget.told();
@@ -291,7 +291,7 @@
     }
 
     /** What it reports of itself. */
-    LoadReport report() {
+    public LoadReport report() {
         advance();
         return figures.report(loop.now());
     }
--- a/lab/src/main/java/sagefall/lab/model/Sidecar.java
+++ b/lab/src/main/java/sagefall/lab/model/Sidecar.java
@@ -23,7 +23,7 @@
  * The host of one instance of the module, as the real host and the simulator's are: it turns what happens
  * into events and actions into what happens, and decides nothing. It keeps the connections to servers.
  */
-public final class Sidecar implements Actions {
+public final class Sidecar implements Actions, Door, Subscriber {
 
     /** What this life of the sidecar has been told of a server; gone at 0 is not gone. */
     record Told(long startMicros, long goneAt) { }
@@ -57,7 +57,7 @@
     }
 
     /** Final answers. */
-    enum Answer { SERVED, REFUSED, FAILED }
+    public enum Answer { SERVED, REFUSED, FAILED }
 
     /** Idle connections to one server's process, the one used last on top. */
     private static final class Idle {
@@ -85,22 +85,33 @@
         this.zone = zone;
     }
 
-    /** Its place among all, from 0 on. */
+    @Override
     public int index() {
         return index;
     }
 
-    /** The zone that it stands in. */
+    @Override
     public int zone() {
         return zone;
     }
 
-    /** What the ids of all requests of this life begin with. */
-    String prefix() {
+    @Override
+    public boolean up() {
+        return up;
+    }
+
+    @Override
+    public boolean leaving() {
+        return leaving;
+    }
+
+    @Override
+    public String prefix() {
         return prefix;
     }
 
-    int life() {
+    @Override
+    public int life() {
         return life;
     }
 
@@ -157,7 +168,8 @@
 
     // ---- Events
 
-    void list(ListKind kind, List<Server> lines) {
+    @Override
+    public void list(ListKind kind, List<Server> lines) {
         if (module == null) {
             return;
         }
@@ -183,8 +195,8 @@
         module.servers(now, kind, lines);
     }
 
-    /** A client's request has come whole. */
-    void take(Call call, boolean repeat) {
+    @Override
+    public void take(Call call, boolean repeat) {
         Loop loop = world.loop();
         calls.put(call.id, call);
         int mine = life;
@@ -214,8 +226,8 @@
         });
     }
 
-    /** The client has gone. */
-    void leave(Call call) {
+    @Override
+    public void leave(Call call) {
         if (call.over || module == null) {
             return;
         }
--- a/lab/src/main/java/sagefall/lab/model/Traffic.java
+++ b/lab/src/main/java/sagefall/lab/model/Traffic.java
@@ -20,10 +20,10 @@
  * The clients: open arrivals at rates that change, and what each client does with the answer it gets.
  * Arrivals wait for nothing, so two policies meet the same ones.
  */
-final class Traffic {
+public final class Traffic {
 
     private final Loop loop;
-    private final List<Sidecar> sidecars;
+    private final List<? extends Door> sidecars;
     private final Ledger ledger;
     private final Network network;
     private final RequestClass rules;
@@ -58,13 +58,13 @@
     private long ids;
 
     /** What troubles change: all rates, those of zones and tenants, leavers, and clients that insist. */
-    double burst = 1;
-    final double[] shift;
-    final double[] surge;
-    double leave;
-    int stubborn;
+    public double burst = 1;
+    public final double[] shift;
+    public final double[] surge;
+    public double leave;
+    public int stubborn;
 
-    Traffic(Scenario scenario, Draws draws, Loop loop, List<Sidecar> sidecars, Ledger ledger,
+    public Traffic(Scenario scenario, Draws draws, Loop loop, List<? extends Door> sidecars, Ledger ledger,
             Network network, RequestClass rules, double capacity) {
         this.loop = loop;
         this.sidecars = sidecars;
@@ -138,12 +138,12 @@
     }
 
     /** Mean work of a request, in microseconds on a core of speed 1. */
-    double meanWork() {
+    public double meanWork() {
         return meanWork;
     }
 
     /** A trouble has changed who has how much traffic. */
-    void reweigh() {
+    public void reweigh() {
         double[] bySidecar = sidecarWeight.clone();
         double all = 0;
         double shifted = 0;
@@ -165,7 +165,7 @@
         whichTenant = AliasMethodDiscreteSampler.of(figures, byTenant);
     }
 
-    void begin() {
+    public void begin() {
         next();
     }
 
@@ -220,8 +220,9 @@
     private void tryOnce(Wish wish) {
         wish.tries++;
         ledger.tries++;
-        Sidecar sidecar = at(wish.sidecar);
-        if (!sidecar.up) {
+        Door sidecar = at(wish.sidecar);
+        if (!sidecar.up()) {
+            sidecar.missed(wish);
             ledger.answer("unreachable");
             again(wish, 0, "sidecar down");
             return;
@@ -241,20 +242,25 @@
     }
 
     /** A planned restart takes the application with it: its clients go to the next of its zone. */
-    private Sidecar at(Sidecar sidecar) {
+    private Door at(Door sidecar) {
         int zones = shift.length;
-        for (int i = 0; sidecar.leaving && i < sidecars.size(); i++) {
+        for (int i = 0; sidecar.leaving() && i < sidecars.size(); i++) {
             sidecar = sidecars.get((sidecar.index() + zones) % sidecars.size());
         }
         return sidecar;
     }
 
     /** The client of a call hears its final answer. */
-    void answer(Call call, Answer kind, Reason why, long retryMicros) {
+    public void answer(Call call, Answer kind, Reason why, long retryMicros) {
+        answer(call, kind, why == null ? "unanswered"
+                : kind.name().toLowerCase(Locale.ROOT) + " " + why.name().toLowerCase(Locale.ROOT),
+                retryMicros);
+    }
+
+    /** The same in words, where no more than a status is told. */
+    public void answer(Call call, Answer kind, String word, long retryMicros) {
         loop.in(network.clientWay(), () -> {
             Wish wish = call.wish;
-            String word = why == null ? "unanswered" : kind.name().toLowerCase(Locale.ROOT) + " " + why.name()
-                    .toLowerCase();
             if (kind == Answer.SERVED) {
                 served(wish);
                 return;
@@ -283,7 +289,7 @@
     }
 
     /** The sidecar died with the call in hand. */
-    void dropped(Call call) {
+    public void dropped(Call call) {
         if (repeatsAnything) {
             again(call.wish, 0, "sidecar killed");
         } else {
--- a/lab/src/main/java/sagefall/lab/model/Troubles.java
+++ b/lab/src/main/java/sagefall/lab/model/Troubles.java
@@ -5,8 +5,6 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.sampling.ListSampler;
 import sagefall.lab.scenario.Fault;
 
 /** Brings about what a scenario says goes wrong, and ends it. */
@@ -40,17 +38,14 @@
     }
 
     private void plan(Fault f, String name) {
-        UniformRandomProvider random = draws.stream(name);
-        double from = f.from().at(random.nextDouble());
-        double seconds = Math.min(f.seconds().at(random.nextDouble()), daySeconds);
-        double part = f.part().at(random.nextDouble());
-        double size = f.size().at(random.nextDouble());
-        double every = f.every().at(random.nextDouble());
-        long begin = Loop.BEGIN + (long) (1e6 * from);
-        long micros = (long) (1e6 * seconds);
-        long period = (long) (1e6 * every);
-        double end = f.kind() == Fault.Kind.KILL_SIDECARS ? from + size : from + seconds;
-        drawn.add(new Drawn(f.kind().name().toLowerCase(Locale.ROOT), from, Math.min(end, daySeconds)));
+        Fault.Drawn d = f.draw(draws.stream(name), daySeconds);
+        double part = d.part();
+        double size = d.size();
+        long begin = Loop.BEGIN + (long) (1e6 * d.from());
+        long micros = (long) (1e6 * d.seconds());
+        long period = (long) (1e6 * d.every());
+        drawn.add(new Drawn(f.kind().name().toLowerCase(Locale.ROOT), d.from(),
+                Math.min(d.end(), daySeconds)));
         switch (f.kind()) {
             case LOSE_ZONE -> spell(begin, micros, on -> lose(inZone(f.zone()), f.how(), on));
             case FLAP_ZONE -> {
@@ -60,8 +55,8 @@
             }
             case CUT_ZONE -> spell(begin, micros, on -> day.network().cut(f.zone(), !f.how().equals("out"),
                     !f.how().equals("in"), on ? 1 : -1));
-            case LOSE_SERVERS -> onSome(random, part, begin, micros, (s, on) -> lose(s, f.how(), on));
-            case SLOW -> onSome(random, part, begin, micros, (s, on) -> {
+            case LOSE_SERVERS -> onSome(d, begin, micros, (s, on) -> lose(s, f.how(), on));
+            case SLOW -> onSome(d, begin, micros, (s, on) -> {
                 s.slow *= on ? size : 1 / size;
                 s.settle();
             });
@@ -69,15 +64,15 @@
                 day.sharedSlow[0] *= on ? size : 1 / size;
                 day.servers().forEach(SaveServer::settle);
             });
-            case ERRORS -> onSome(random, part, begin, micros, (s, on) -> s.errors += on ? size : -size);
-            case PAUSES -> onSome(random, part, begin, micros, (s, on) -> {
+            case ERRORS -> onSome(d, begin, micros, (s, on) -> s.errors += on ? size : -size);
+            case PAUSES -> onSome(d, begin, micros, (s, on) -> {
                 if (on) {
                     day.pauses(s, period, (long) (1000 * size), begin + micros);
                 }
             });
-            case NEIGHBOUR -> onSome(random, part, begin, micros, (s, on) -> {
+            case NEIGHBOUR -> onSome(d, begin, micros, (s, on) -> {
                 if (on) {
-                    neighbour(s, size, period, begin + micros, random.nextDouble());
+                    neighbour(s, size, period, begin + micros, d.random().nextDouble());
                 }
             });
             case BURST -> spell(begin, micros, on -> day.traffic().burst *= on ? size : 1 / size);
@@ -90,23 +85,28 @@
                 day.traffic().reweigh();
             });
             case REPLACE -> {
-                List<SaveServer> some = some(random, day.first(), part);
+                List<SaveServer> some = d.some(day.first());
                 for (int i = 0; i < some.size(); i++) {
                     SaveServer s = some.get(i);
                     loop.at(begin + micros * i / some.size(), () -> day.replace(s, f.how().equals("early")));
                 }
             }
-            case KILL_SIDECARS -> loop.at(begin, () -> some(random, day.sidecars().stream()
-                    .filter(s -> f.zone() < 0 || s.zone() == f.zone()).toList(), part)
+            case KILL_SIDECARS -> loop.at(begin, () -> d.some(day.sidecars().stream()
+                    .filter(s -> f.zone() < 0 || s.zone() == f.zone()).toList())
                     .forEach(s -> day.kill(s, (long) (1e6 * size))));
             case RESTART_SIDECARS -> {
-                List<Sidecar> some = some(random, day.sidecars(), part);
+                List<Sidecar> some = d.some(day.sidecars());
                 int steps = Math.min(10, some.size());
                 for (int i = 0; i < some.size(); i++) {
                     Sidecar s = some.get(i);
                     loop.at(begin + micros * (i % steps) / steps, () -> day.restart(s, (long) (1e6 * size)));
                 }
             }
+            case DEAF -> {
+                for (Sidecar s : d.some(day.sidecars())) {
+                    spell(begin, micros, on -> day.discovery().deaf(s, on));
+                }
+            }
             case LATE_LISTS -> spell(begin, micros, on -> day.discovery().late *= on ? size : 1 / size);
             case DISCOVERY_DOWN -> spell(begin, micros, on -> day.discovery().down += on ? 1 : -1);
             case LOST_ANSWERS -> spell(begin, micros, on -> day.lostAnswers += on ? part : -part);
@@ -127,18 +127,12 @@
         void on(SaveServer server, boolean begins);
     }
 
-    private void onSome(UniformRandomProvider random, double part, long begin, long micros, Change change) {
-        for (SaveServer s : some(random, day.first(), part)) {
+    private void onSome(Fault.Drawn d, long begin, long micros, Change change) {
+        for (SaveServer s : d.some(day.first())) {
             spell(begin, micros, on -> change.on(s, on));
         }
     }
 
-    private static <T> List<T> some(UniformRandomProvider random, List<T> all, double part) {
-        List<T> shuffled = new ArrayList<>(all);
-        ListSampler.shuffle(random, shuffled);
-        return shuffled.subList(0, (int) Math.round(part * shuffled.size()));
-    }
-
     private Predicate<SaveServer> inZone(int zone) {
         return s -> s.zone == zone;
     }
--- a/lab/src/main/java/sagefall/lab/model/Wish.java
+++ b/lab/src/main/java/sagefall/lab/model/Wish.java
@@ -4,18 +4,18 @@
  * What a client wants, from its first try to the answer that it accepts or to its giving up. All of its
  * random figures are drawn at its arrival, so no decision of a balancer changes them.
  */
-final class Wish {
-    final int number;
-    final long arrivedAt;
+public final class Wish {
+    public final int number;
+    public final long arrivedAt;
     final long endsAt;
-    final long key;
-    final int tenant;
-    final boolean beyondShare;
+    public final long key;
+    public final int tenant;
+    public final boolean beyondShare;
     /** Microseconds on a core of speed 1. */
-    final double work;
+    public final double work;
     /** Between 0 and 1: what the client's own chances are drawn from. */
     final double luck;
-    Sidecar sidecar;
+    public Door sidecar;
     int tries;
     boolean over;
     /** Where and when it ran first, for what servers drop as a repeat; in a zone or, at 0, not. */
--- a/lab/src/main/java/sagefall/lab/scenario/Fault.java
+++ b/lab/src/main/java/sagefall/lab/scenario/Fault.java
@@ -1,8 +1,13 @@
 package sagefall.lab.scenario;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
 
 /**
  * What goes wrong, and when. Figures that a kind has no use for can't be given, so a fault says nothing
@@ -16,9 +21,22 @@
  * @param size how bad, in the kind's own unit
  * @param every seconds between two of what comes again and again
  * @param how a word that the kind takes
+ * @param place where it stands: file, line and name
  */
 public record Fault(Kind kind, Range from, Range seconds, int zone, int tenant, Range part, Range size,
-        Range every, String how) {
+        Range every, String how, String place) {
+
+    /** Who plays scenarios. */
+    public enum Side {
+        /** {@code sagefall.lab.model}: one process, its own clock. */
+        EMULATOR,
+        /** {@code sagefall.lab.rig}: real processes on real sockets. */
+        RIG
+    }
+
+    private static final Set<Side> BOTH = EnumSet.allOf(Side.class);
+    private static final Set<Side> EMULATED = EnumSet.of(Side.EMULATOR);
+    private static final Set<Side> REAL = EnumSet.of(Side.RIG);
 
     /** Kinds of trouble, and which names each takes beside {@code kind} and {@code at_s}. */
     public enum Kind {
@@ -39,7 +57,7 @@
         /** A part of the servers stands still for so many milliseconds every so many seconds. */
         PAUSES("for_s part size every_s"),
         /** Another program takes that share of a part of the servers, on and off. */
-        NEIGHBOUR("for_s part size every_s"),
+        NEIGHBOUR("for_s part size every_s", EMULATED),
         /** Traffic is so many times the usual. */
         BURST("for_s size"),
         /** One zone's sidecars have so many times their usual traffic. */
@@ -70,12 +88,44 @@
         /** That part of the tries is left early by the client. */
         LEAVERS("for_s part"),
         /** Clients come back at once, so many times, whatever they are told. */
-        STUBBORN("for_s size");
+        STUBBORN("for_s size"),
+        /** A part of the sidecars hears of no change of the list, and of all at the end. */
+        DEAF("for_s part"),
+        /**
+         * A part of the servers ends and comes back at the old addresses with new ids. How: silent or
+         * refuse.
+         */
+        REBORN("for_s part how", REAL),
+        /** A part of the sidecars stands still (SIGSTOP) and goes on. */
+        STOP_SIDECARS("for_s part", REAL),
+        /** A part of the sidecars runs only that part of each tenth of a second. */
+        SLOW_SIDECARS("for_s part size", REAL),
+        /** Nothing passes between a part of the sidecars and a zone's servers. How: both ways, in or out. */
+        CUT_SIDECARS("for_s part zone how", REAL),
+        /** The same, on for half of each round, again and again. */
+        FLAP_LINKS("for_s part zone every_s how", REAL),
+        /** Ways between a part of the sidecars and a zone's servers take so many milliseconds more. */
+        DELAY_LINKS("for_s part zone size", REAL),
+        /** Connections between a part of the sidecars and a zone's servers break after so many bytes. */
+        CUT_BYTES("for_s part zone size", REAL),
+        /** That part of the sidecars' whole machines loses power and is back after so many seconds. */
+        POWER_LOSS("zone size part", REAL);
 
         private final List<String> names;
+        private final Set<Side> sides;
 
         Kind(String names) {
+            this(names, BOTH);
+        }
+
+        Kind(String names, Set<Side> sides) {
             this.names = Arrays.asList(names.split(" "));
+            this.sides = sides;
+        }
+
+        /** Whether that side can play it. */
+        public boolean on(Side side) {
+            return sides.contains(side);
         }
 
         private static List<String> words() {
@@ -94,14 +144,15 @@
         Range from = t.range("at_s", Range.of(0), 0, day);
         Range seconds = t.range("for_s", Range.of(day), 0, day);
         List<String> hows = switch (kind) {
-            case CUT_ZONE -> List.of("both", "in", "out");
+            case CUT_ZONE, CUT_SIDECARS, FLAP_LINKS -> List.of("both", "in", "out");
             case REPLACE -> List.of("late", "early");
             default -> List.of("silent", "refuse");
         };
         Fault fault = new Fault(kind, from, seconds, zone(t, kind, fleet), tenant(t, kind, tenants),
                 t.range("part", Range.of(0.1), 0, 1), t.range("size", Range.of(2), size(kind)[0],
                         size(kind)[1]),
-                t.range("every_s", Range.of(2), 0.01, day), t.word("how", hows.get(0), hows));
+                t.range("every_s", Range.of(2), 0.01, day), t.word("how", hows.get(0), hows),
+                t.place("kind"));
         t.end();
         return fault;
     }
@@ -109,6 +160,8 @@
     private static double[] size(Kind kind) {
         return switch (kind) {
             case ERRORS, NEIGHBOUR -> new double[] {0, 1};
+            case SLOW_SIDECARS -> new double[] {0.05, 1};
+            case CUT_BYTES -> new double[] {1, 1e9};
             case PAUSES -> new double[] {0, 60_000};
             case STUBBORN -> new double[] {0, 20};
             default -> new double[] {0, 1000};
@@ -116,7 +169,8 @@
     }
 
     private static int zone(Table t, Kind kind, Scenario.Fleet fleet) throws ScenarioException {
-        if (!kind.names.contains("zone") || kind == Kind.KILL_SIDECARS && !t.has("zone")) {
+        if (!kind.names.contains("zone") || (kind == Kind.KILL_SIDECARS || kind == Kind.POWER_LOSS)
+                && !t.has("zone")) {
             return -1;
         }
         int zone = fleet.zones().indexOf(t.word("zone", fleet.zones().get(0), List.of()));
@@ -137,4 +191,32 @@
         }
         return tenant;
     }
+
+    /**
+     * A fault with its figures drawn; times in seconds. What is still to be drawn comes from {@code
+     * random}.
+     */
+    public record Drawn(Fault fault, double from, double seconds, double part, double size, double every,
+            UniformRandomProvider random) {
+
+        /** A part of all, by chance. */
+        public <T> List<T> some(List<T> all) {
+            List<T> shuffled = new ArrayList<>(all);
+            ListSampler.shuffle(random, shuffled);
+            return shuffled.subList(0, (int) Math.round(part * shuffled.size()));
+        }
+
+        /** When the last of it is over. */
+        public double end() {
+            return from + (fault.kind == Kind.KILL_SIDECARS || fault.kind == Kind.POWER_LOSS ? size
+                    : seconds);
+        }
+    }
+
+    /** Its figures, from a stream of its own. */
+    public Drawn draw(UniformRandomProvider random, double daySeconds) {
+        return new Drawn(this, from.at(random.nextDouble()),
+                Math.min(seconds.at(random.nextDouble()), daySeconds), part.at(random.nextDouble()),
+                size.at(random.nextDouble()), every.at(random.nextDouble()), random);
+    }
 }
--- a/lab/src/main/java/sagefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/sagefall/lab/scenario/Scenario.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 /**
  * A kind of day: a fleet, its load and what goes wrong, with figures left open as ranges that a seed draws.
@@ -24,6 +25,18 @@
         Net net, Listing listing, Service service, List<Kind> kinds, List<Tenant> tenants,
         List<Fault> faults) {
 
+    /**
+     * Scenarios that come with the laboratory for real processes: those of the rig alone, and shared
+     * ones.
+     */
+    public static final List<String> RIG = List.of("rig-calm", "rig-kill", "rig-restart", "rig-zone",
+            "rig-one-way", "rig-slow-servers", "rig-slow-sidecars", "rig-discovery", "rig-disagree",
+                    "rig-flap",
+            "rig-stop", "rig-reborn");
+
+    /** A scenario's text, and what messages call it. */
+    public record Source(String file, String text) { }
+
     /** Scenarios that come with the laboratory. */
     public static final List<String> SHIPPED = List.of("calm", "roll", "herd", "zone", "split", "join",
             "overload", "slow", "flap");
@@ -106,19 +119,36 @@
      * @param sets figures in the place of the file's, as {@code fleet.servers=60}
      */
     public static Scenario load(String nameOrFile, List<String> sets) throws IOException, ScenarioException {
-        if (SHIPPED.contains(nameOrFile)) {
+        Source source = source(nameOrFile);
+        return read(source.file, source.text, sets);
+    }
+
+    /** The text of a shipped scenario, or of a file. */
+    public static Source source(String nameOrFile) throws IOException, ScenarioException {
+        if (SHIPPED.contains(nameOrFile) || RIG.contains(nameOrFile)) {
             String resource = "/sagefall/lab/scenarios/" + nameOrFile + ".toml";
             try (InputStream in = Scenario.class.getResourceAsStream(resource)) {
-                return read(nameOrFile + ".toml", new String(in.readAllBytes(), StandardCharsets.UTF_8),
-                        sets);
+                return new Source(nameOrFile + ".toml", new String(in.readAllBytes(),
+                        StandardCharsets.UTF_8));
             }
         }
         Path path = Path.of(nameOrFile);
         if (!Files.isReadable(path)) {
             throw new ScenarioException(nameOrFile + ":1: no such file, and none of the shipped scenarios "
-                    + String.join(", ", SHIPPED));
+                    + String.join(", ", SHIPPED) + ", " + String.join(", ", RIG));
+        }
+        return new Source(nameOrFile, Files.readString(path));
+    }
+
+    /** This scenario, unless it has a fault that the side can't play. */
+    public Scenario on(Fault.Side side) throws ScenarioException {
+        for (Fault f : faults) {
+            if (!f.kind().on(side)) {
+                throw new ScenarioException(f.place() + ": the " + side.name().toLowerCase(Locale.ROOT)
+                        + " can't play " + f.kind().name().toLowerCase(Locale.ROOT));
+            }
         }
-        return read(nameOrFile, Files.readString(path), sets);
+        return this;
     }
 
     /** Reads a scenario from its text; the file's name goes into messages. */
--- a/lab/src/main/java/sagefall/lab/scenario/Table.java
+++ b/lab/src/main/java/sagefall/lab/scenario/Table.java
@@ -31,9 +31,14 @@
         return path.isEmpty() ? name : path + "." + name;
     }
 
+    /** Where a name stands: file, line and the whole name. */
+    String place(String name) {
+        return lines.place(file, at(name)) + ": " + at(name);
+    }
+
     /** What is wrong with one of the names. */
     public ScenarioException wrong(String name, String why) {
-        return new ScenarioException(lines.place(file, at(name)) + ": " + at(name) + ": " + why);
+        return new ScenarioException(place(name) + ": " + why);
     }
 
     private JsonNode get(String name) {
--- a/lab/src/test/java/sagefall/lab/model/KnownResultsTest.java
+++ b/lab/src/test/java/sagefall/lab/model/KnownResultsTest.java
@@ -25,13 +25,13 @@
                 coldMicros, false, 0, 1, 0, 100, 0, 0, 0, 0, 1000), loop, new double[] {1},
                 new SaveServer.Floor() {
                     @Override
-                    public void done(Attempt attempt) {
-                        done.add(attempt);
+                    public void done(Job job) {
+                        done.add((Attempt) job);
                         doneAt.add(loop.now());
                     }
 
                     @Override
-                    public void broken(Attempt attempt) { }
+                    public void broken(Job job) { }
 
                     @Override
                     public void fell(SaveServer server, double told) { }
