--- a/lab/src/main/java/sagefall/lab/Lab.java
+++ b/lab/src/main/java/sagefall/lab/Lab.java
@@ -9,6 +9,7 @@
 import sagefall.lab.command.Scenarios;
 import sagefall.lab.command.Speed;
 import sagefall.lab.command.Sweep;
+import sagefall.lab.command.Windows;
 import sagefall.lab.load.Demo;
 import sagefall.lab.load.Load;
 import sagefall.lab.load.StandIns;
@@ -25,7 +26,8 @@
                 "2:a scenario, a policy or an option is wrong"},
         subcommands = {Run.class, Compare.class, Ablate.class, Sweep.class, Rank.class, Scenarios.class,
                 Speed.class,
-                Demo.class, Load.class, StandIns.class, StreamLoad.class, RigCommand.class})
+                Demo.class, Load.class, StandIns.class, StreamLoad.class, Windows.class,
+                RigCommand.class})
 public final class Lab {
 
     private Lab() { }
--- a/lab/src/main/java/sagefall/lab/rig/Figures.java
+++ b/lab/src/main/java/sagefall/lab/rig/Figures.java
@@ -1,5 +1,6 @@
 package sagefall.lab.rig;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,10 +18,12 @@
  * @param back seconds from the end of the last fault until 0.95 of the part served before the first one is
  *     served again for two seconds; negative where that never came
  * @param answers tries by what became of them
+ * @param attempts sends to servers for each wish; {@code crossings}: those to another zone that arrived
  * @param asked worth by second, and {@code got} what was served of it
  */
 record Figures(double served, double worstSecond, double back, double before, Map<String, Long> answers,
-        double p50Millis, double p99Millis, long requests, long stallMillis, double[] asked, double[] got) {
+        double p50Millis, double p95Millis, double p99Millis, double attempts, double crossings,
+        long requests, long stallMillis, double[] asked, double[] got) {
 
     private static final double ENOUGH = 0.95;
     private static final int STEADY = 2;
@@ -42,13 +45,29 @@
         Map<Long, Wish> wishes = new TreeMap<>();
         Map<String, Wish> byId = new HashMap<>();
         Map<String, Long> answers = new TreeMap<>();
+        Map<Long, Long> serverZone = new HashMap<>();
+        Map<String, Long> sender = new HashMap<>();
+        JsonNode zones = null;
+        long sends = 0;
+        long crossings = 0;
         for (Entry e : history) {
             switch (e.kind()) {
                 case "play" -> {
                     aim = 1000.0 * e.number("aim_us");
                     beyond = e.line().path("over_share_worth").asDouble(1);
+                    zones = e.line().path("sidecars");
                     seconds = (int) Math.ceil(e.line().path("seconds").asDouble(1));
                 }
+                case "server" -> serverZone.put(e.number("server"), e.number("zone"));
+                case "send" -> {
+                    sends++;
+                    sender.put(e.text("id"), e.number("who"));
+                }
+                case "arrive" -> {
+                    long who = sender.getOrDefault(e.text("id"), -1L);
+                    crossings += who >= 0 && zones.path((int) who).asLong() != serverZone.getOrDefault(
+                            e.number("server"), -1L) ? 1 : 0;
+                }
                 case "begin" -> zero = e.at();
                 case "stall" -> stall = Math.max(stall, e.number("ms"));
                 case "fault" -> {
@@ -93,7 +112,9 @@
         return new Figures(part(asked, got, 0, seconds), worst(asked, got), back(asked, got, before,
                 lastFault),
                 before, answers, micros.getValueAtPercentile(50) / 1000.0,
-                micros.getValueAtPercentile(99) / 1000.0, wishes.size(), stall, asked, got);
+                micros.getValueAtPercentile(95) / 1000.0, micros.getValueAtPercentile(99) / 1000.0,
+                sends / (double) Math.max(1, wishes.size()), crossings / (double) Math.max(1, wishes.size()),
+                wishes.size(), stall, asked, got);
     }
 
     private static String word(long status) {
--- a/lab/src/main/java/sagefall/lab/rig/RigCommand.java
+++ b/lab/src/main/java/sagefall/lab/rig/RigCommand.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -14,6 +15,11 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import sagefall.lab.load.SidecarProcess;
+import sagefall.lab.model.Day;
+import sagefall.lab.model.DayResult;
+import sagefall.lab.policy.Policies;
+import sagefall.lab.policy.Policy;
+import sagefall.lab.scenario.Fault;
 import sagefall.lab.scenario.Scenario;
 import sagefall.lab.scenario.ScenarioException;
 
@@ -21,7 +27,8 @@
 @Command(name = "rig", mixinStandardHelpOptions = true,
         description = "Plays faults between many real processes and judges what was seen.",
         subcommands = {RigCommand.Run.class, RigCommand.Again.class, RigCommand.Check.class,
-                RigCommand.Campaign.class, RigCommand.Shrink.class, RigCommand.Scenarios.class})
+                RigCommand.Campaign.class, RigCommand.Shrink.class, RigCommand.Agree.class,
+                RigCommand.Scenarios.class})
 public final class RigCommand {
 
     /** What all plays take. */
@@ -249,6 +256,61 @@
         }
     }
 
+    /** The same days by the emulator and by real processes. */
+    @Command(name = "agree", mixinStandardHelpOptions = true,
+            description = "Plays scenarios by the emulator and by real processes, side by side.")
+    static final class Agree implements Callable<Integer> {
+        @Parameters(paramLabel = "SCENARIO", description = "ones that both can play")
+        private List<String> scenarios;
+
+        @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})")
+        private long seed;
+
+        @Option(names = "--plays", defaultValue = "5", description = "with seeds from that on")
+        private int plays;
+
+        @Mixin
+        private Options options;
+
+        @Override
+        public Integer call() throws Exception {
+            System.out.println("scenario, seed               served        attempts       crossings      "
+                    + "refused        failed         p50 ms       p95 ms");
+            boolean broken = false;
+            for (String name : scenarios) {
+                for (long s = seed; s < seed + plays; s++) {
+                    Plan plan = options.plan(name, s);
+                    DayResult e;
+                    try (Policy policy = Policies.of("module", SidecarProcess.ROOT)) {
+                        e = new Day(plan.scenario().on(Fault.Side.EMULATOR), s, policy).play();
+                    }
+                    Play play = Play.of(plan, options.folder("agree-" + name + "-" + s));
+                    Figures f = play.figures();
+                    broken |= play.broken();
+                    System.out.printf(Locale.ROOT, "%-18s %3d  %.3f %.3f   %.3f %.3f   %.3f %.3f   %.4f %.4f"
+                            + "   %.4f %.4f   %4.0f %4.0f   %4.0f %4.0f%s%n", name, s, e.served(), f.served(),
+                            e.attemptsPerRequest(), f.attempts(), e.crossingsPerRequest(), f.crossings(),
+                            part(e, "refused"), part(f, "refused"), part(e, "failed"), part(f, "failed"),
+                            e.latency().p50(), f.p50Millis(), e.latency().p95(), f.p95Millis(),
+                            play.isVoid() ? "  VOID" : play.broken() ? "  BROKEN" : "");
+                    if (!play.broken()) {
+                        play.remove();
+                    }
+                }
+            }
+            return status(broken);
+        }
+
+        private static double part(DayResult r, String word) {
+            return r.answers().entrySet().stream().filter(a -> a.getKey().startsWith(word))
+                    .mapToLong(Map.Entry::getValue).sum() / (double) r.requests();
+        }
+
+        private static double part(Figures f, String word) {
+            return f.answers().getOrDefault(word, 0L) / (double) f.requests();
+        }
+    }
+
     /** What there is to play. */
     @Command(name = "scenarios", mixinStandardHelpOptions = true,
             description = "Lists what real processes can "
--- a/lab/src/test/java/sagefall/lab/CommandTest.java
+++ b/lab/src/test/java/sagefall/lab/CommandTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Files;
@@ -44,6 +46,30 @@
         assertFalse(page.matches("(?s).*(src|href)=['\"](?!data:).*"), "the page asks for something");
     }
 
+    /** A day that was cut off is compared over what both reached: here the first ten seconds. */
+    @Test
+    void windowsOfTheBenchAreCompared() throws Exception {
+        Path report = folder.resolve("report.log");
+        Files.writeString(report, "G 0.5   whole day 0.9\n"
+                + "     0     300     99.0    0.5      0.25   0.0   0.8   57.7   300.0    1.00   1.00    0    0    5"
+                + "    0     0   1.34    8  100.0\n"
+                + "     5     100     99.0    0.5      0.25   0.0   0.8   57.7   700.0    1.00   1.00    0    0    5"
+                + "    0     0   1.34    8   90.0\n"
+                + "    10     100      0.0    0.0    100.0    0.0   0.8   57.7     0.0    1.00   1.00    0    0    5"
+                + "    0     0   1.34    8    0.0\n");
+        PrintStream before = System.out;
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(printed, true));
+        try {
+            assertEquals(0, lab("windows", "--until", "10", report.toString()), errors.toString());
+        } finally {
+            System.setOut(before);
+        }
+        String last = printed.toString().lines().reduce((a, b) -> b).orElse("").replaceAll(" +", " ");
+        assertEquals("report.log 2 0.9750 0.975 at 0 s 0.500 0.250 0.000 400", last);
+        assertEquals(2, lab("windows", folder.resolve("none").toString()));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = ';', value = {
         "run;nowhere;nowhere:1: no such file, and none of the shipped scenarios",
