Let emulated sidecars take a while to start, as real ones do; look at rest when reached

The rig looks at descriptors and memory as soon as the descriptors are back, and at four times the idle time at the latest.

--- a/lab/src/main/java/sagefall/lab/model/Day.java
+++ b/lab/src/main/java/sagefall/lab/model/Day.java
@@ -49,6 +49,7 @@
     private final UniformRandomProvider chances;
     private final ZigguratSampler.NormalizedGaussian noise;
     private final UniformRandomProvider seeds;
+    private final UniformRandomProvider starts;
     private final double attemptNoise;
     private final double reportNoise;
     private final double setupMicros;
@@ -87,6 +88,7 @@
         chances = draws.stream("chances");
         noise = ZigguratSampler.NormalizedGaussian.of(draws.stream("noise"));
         seeds = draws.stream("seeds");
+        starts = draws.stream("starts");
         attemptNoise = scenario.service().attemptNoise().draw(draws, "service.attempt_noise");
         reportNoise = scenario.service().reportNoise().draw(draws, "service.report_noise");
         setupMicros = scenario.net().setupMicros().draw(draws, "net.setup");
@@ -225,7 +227,8 @@
                 traffic.dropped(call);
             }
         });
-        loop.in(downMicros, () -> back(s));
+        double start = scenario.fleet().startSeconds().at(starts.nextDouble());
+        loop.in(downMicros + (long) (1e6 * start), () -> back(s));
     }
 
     private void back(Sidecar s) {
--- a/lab/src/main/java/sagefall/lab/rig/Rig.java
+++ b/lab/src/main/java/sagefall/lab/rig/Rig.java
@@ -55,8 +55,9 @@
     private static final int REPLICAS = 2;
     private static final int THREADS = 3;
     private static final long END_SECONDS = 30;
-    /** After the last answer: longer than idle connections are kept. */
-    private static final double REST_PARTS = 1.2;
+    /** After the last answer: so many times as long as idle connections are kept, at the most. */
+    private static final double REST_PARTS = 4;
+    private static final long LOOK_MILLIS = 50;
 
     /** What goes into the folder of a play. */
     static final String PLAN = "plan.json";
@@ -282,12 +283,7 @@
         pace.run(() -> pace.loop().at(Math.max(endMicros(), schedule.endMicros()), () -> settle(over)));
         over.get();
         history.line("end");
-        Thread.sleep((long) (1000 * REST_PARTS * scenario.net().idleSeconds()));
-        for (SidecarMember s : sidecars) {
-            if (s.process().isAlive()) {
-                s.rest("after");
-            }
-        }
+        rest();
         sidecars.forEach(SidecarMember::end);
         for (SidecarMember s : sidecars) {
             if (!s.process().waitFor(END_SECONDS, TimeUnit.SECONDS)) {
@@ -300,6 +296,19 @@
         }
     }
 
+    /** Looks at each sidecar once its idle connections are closed, or when they should long be. */
+    private void rest() throws IOException, InterruptedException {
+        long until = System.nanoTime() + (long) (1e9 * REST_PARTS * scenario.net().idleSeconds());
+        for (SidecarMember s : sidecars) {
+            while (!s.rested() && System.nanoTime() < until) {
+                s.process().waitFor(LOOK_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            if (s.process().isAlive()) {
+                s.rest("after");
+            }
+        }
+    }
+
     /** Once nothing is in hand any more and every process is back. */
     private void settle(CompletableFuture<Void> over) {
         boolean back = sidecars.stream().allMatch(s -> s.up() && !s.busy());
--- a/lab/src/main/java/sagefall/lab/rig/SidecarMember.java
+++ b/lab/src/main/java/sagefall/lab/rig/SidecarMember.java
@@ -31,6 +31,8 @@
     /** Wait for an answer beyond its time, so that one that comes late is seen to. */
     private static final long PATIENCE = 5_000_000;
     private static final int BODY = 300;
+    /** Descriptors beyond the base that a sidecar at rest may hold, such as its watch. */
+    private static final int FEW = 4;
 
     private record Open(Application.Exchange exchange, int life) { }
 
@@ -49,6 +51,7 @@
     private volatile SidecarProcess process;
     private volatile boolean ending;
     private int life;
+    private int base;
     private boolean up;
     private boolean leaving;
 
@@ -131,7 +134,13 @@
         leaving = false;
     }
 
+    /** Whether it is about as it was before the first request, or has ended. */
+    boolean rested() throws IOException {
+        return !process.process().isAlive() || process.descriptors() <= base + FEW;
+    }
+
     void rest(String when) throws IOException {
+        base = when.equals("before") ? process.descriptors() : base;
         rig.history.line("rest", "who", index, "when", when, "descriptors", process.descriptors(), "rss_kib",
                 process.status("VmRSS"));
     }
