Allow a sidecar the time that it waited for a core, by the system's own account

Need: 40 sidecars beside two more rigs and a bench on eight cores answered 1.6 s late, 157 times, and that was booked as broken ONE_ANSWER: a false alarm, as the rig's own lateness (706 ms) does not tell what a sidecar waits.

Change: every quarter of a second the rig reads how long the worst thread of each sidecar waited on a run queue (/proc/PID/task/*/schedstat) and writes it down; checks add it to that sidecar's slack. Two lines in the table of histories, of which one is red if another's waiting counts.

--- a/lab/src/main/java/sagefall/lab/rig/Rig.java
+++ b/lab/src/main/java/sagefall/lab/rig/Rig.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.commons.rng.simple.ThreadLocalRandomSource;
@@ -58,6 +59,7 @@
     /** After the last answer: so many times as long as idle connections are kept, at the most. */
     private static final double REST_PARTS = 4;
     private static final long LOOK_MILLIS = 50;
+    private static final long STARVED_NANOS = 20_000_000;
 
     /** What goes into the folder of a play. */
     static final String PLAN = "plan.json";
@@ -267,6 +269,7 @@
     void play() throws Exception {
         pace.begin();
         history.line("begin");
+        workers.submit(this::watchStarving);
         pace.call(() -> {
             sidecars.forEach(SidecarMember::ready);
             traffic = new Traffic(scenario, draws, pace.loop(), sidecars, ledger, network, requestClass,
@@ -296,6 +299,20 @@
         }
     }
 
+    /** Writes down which sidecar waited for a core, and how long. */
+    private void watchStarving() {
+        Starving starving = new Starving();
+        while (!Thread.currentThread().isInterrupted()) {
+            for (SidecarMember s : sidecars) {
+                long nanos = starving.since(s.process().pid());
+                if (nanos > STARVED_NANOS) {
+                    history.line("starved", "who", s.index(), "ms", nanos / 1_000_000);
+                }
+            }
+            LockSupport.parkNanos(LOOK_MILLIS * 5 * 1_000_000);
+        }
+    }
+
     /** Looks at each sidecar once its idle connections are closed, or when they should long be. */
     private void rest() throws IOException, InterruptedException {
         long until = System.nanoTime() + (long) (1e9 * REST_PARTS * scenario.net().idleSeconds());
--- a/lab/src/test/java/sagefall/lab/rig/ChecksTest.java
+++ b/lab/src/test/java/sagefall/lab/rig/ChecksTest.java
@@ -69,6 +69,10 @@
         "late by as long as the process was stopped | R 200 process who 0 what stop; "
                 + "1600 process who 0 what cont; 1700 answer id r who 0 status 504 |",
         "late by as long as the machine was | R 1690 stall ms 300; 1700 answer id r who 0 status 504 |",
+        "late by as long as it waited for a core | R 1690 starved who 0 ms 300; "
+                + "1800 answer id r who 0 status 504 |",
+        "late though another waited for a core | R 1690 starved who 1 ms 300; "
+                + "1800 answer id r who 0 status 504 | ONE_ANSWER",
         "a connection broken | S 150 answer id r who 0 status 0 | ONE_ANSWER",
         "broken by a kill | S 140 process who 0 what kill; 141 process who 0 what exit status 137; "
                 + "150 answer id r who 0 status 0 |",
