--- a/lab/src/test/java/sagefall/lab/rig/RigTest.java
+++ b/lab/src/test/java/sagefall/lab/rig/RigTest.java
@@ -146,6 +146,7 @@
         "again OWN | not a plan",
         "shrink nope.json | nope.json: no such plan",
         "dance | Unmatched argument",
+        "run | Missing required parameter",
     })
     void badInputIsOneLineAndStatusTwo(String arguments, String message) throws Exception {
         Path toml = folder.resolve("own.toml");
