--- a/lab/src/main/java/sagefall/lab/rig/RigCommand.java
+++ b/lab/src/main/java/sagefall/lab/rig/RigCommand.java
@@ -113,7 +113,8 @@
     /** One scenario. */
     @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a scenario.")
     static final class Run implements Callable<Integer> {
-        @Parameters(arity = "1..*", paramLabel = "SCENARIO", description = "a shipped scenario, or a TOML file")
+        @Parameters(arity = "1..*", paramLabel = "SCENARIO",
+                description = "a shipped scenario, or a TOML file")
         private List<String> scenarios;
 
         @Mixin
