Say so when a server's process does not come back, in place of playing on without it

Need: read once more, ServerProcess.again dropped what start's future brought: a server that failed to serve again stayed away for the rest of the play and nothing told of it, so a play with less in it passed for a whole one.

Change: the worker waits for the start; a failure makes the play fail, unless the process was killed again.

--- a/lab/src/main/java/sagefall/lab/rig/ServerProcess.java
+++ b/lab/src/main/java/sagefall/lab/rig/ServerProcess.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 /** A process with one save server in it, or with those of a zone that only ever end together. */
 final class ServerProcess {
@@ -17,7 +18,8 @@
     final List<ServerMember> members = new ArrayList<>();
     private Child child;
     private int life;
-    private int downs;
+    /** Written by the thread of the model alone. */
+    private volatile int downs;
 
     ServerProcess(Rig rig, String name, int zone) {
         this.rig = rig;
@@ -79,18 +81,31 @@
         if (--downs > 0) {
             return;
         }
-        rig.aside(() -> start(true).thenRun(() -> rig.pace.run(() -> {
-            if (downs > 0) {
-                return;
-            }
-            for (ServerMember m : members) {
-                if (!m.gone) {
-                    m.up();
-                    m.mirror.start();
-                    rig.discovery().started(m.mirror);
+        rig.aside(() -> {
+            try {
+                start(true).join();
+            } catch (CompletionException e) {
+                if (!down()) {
+                    throw e;
                 }
+                return null;
+            }
+            rig.pace.run(this::returned);
+            return null;
+        });
+    }
+
+    private void returned() {
+        if (downs > 0) {
+            return;
+        }
+        for (ServerMember m : members) {
+            if (!m.gone) {
+                m.up();
+                m.mirror.start();
+                rig.discovery().started(m.mirror);
             }
-        })));
+        }
     }
 
     boolean down() {
