Let a refusing way refuse at once: wait until its listener is really gone

Checked: not the relay's target nor the queue of the plug, which are not asked yet there; the listening socket itself still stood. At fault: Link.door, which took the end of listening.close().sync() for the end of listening. A server socket that a selector knows is closed by the system only when that selector has let go of its key, in a later turn of the loop; bind(address) was tried again for that reason already, REFUSE was not. Now the door waits until the address can be bound, by a socket that never listens.

--- a/lab/src/main/java/sagefall/lab/rig/Link.java
+++ b/lab/src/main/java/sagefall/lab/rig/Link.java
@@ -17,6 +17,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Locale;
@@ -142,6 +144,11 @@
         if (!listens && listening != null) {
             listening.close().sync();
             listening = null;
+            // Closed, it listens until its selector turns once more: who connects then would get through.
+            again(() -> {
+                bindable();
+                return null;
+            });
         }
         if (now != Door.NEVER && plug != null) {
             plug.close();
@@ -157,6 +164,13 @@
         }
     }
 
+    /** Fails while anybody still listens at the address; does not listen itself. */
+    private void bindable() throws IOException {
+        try (SocketChannel probe = SocketChannel.open()) {
+            probe.setOption(StandardSocketOptions.SO_REUSEADDR, true).bind(address);
+        }
+    }
+
     /** The system lets an address go a moment after its listener was closed. */
     private static <T> T again(Callable<T> attempt) throws IOException {
         long until = System.nanoTime() + PATIENCE;
--- a/lab/src/test/java/sagefall/lab/rig/LinkTest.java
+++ b/lab/src/test/java/sagefall/lab/rig/LinkTest.java
@@ -132,6 +132,17 @@
         }
     }
 
+    /** The selector lets a closed listener go late: who is refused must not depend on when. */
+    @Test
+    void aRefusingDoorRefusesAtOnce() throws Exception {
+        for (int i = 0; i < 300; i++) {
+            link.door(Link.Door.REFUSE);
+            assertThrows(SocketException.class, this::connect);
+            link.door(Link.Door.OPEN);
+            connect().close();
+        }
+    }
+
     /** One way is cut: what goes there is held; once it heals, whoever had something held is reset. */
     @Test
     void aCutOfOneWayHoldsAndThenResets() throws Exception {
