--- a/sidecar/src/main/java/sagefall/Choice.java
+++ b/sidecar/src/main/java/sagefall/Choice.java
@@ -56,8 +56,6 @@
     private static final double BUSY = 0.5;
     /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
     private static final double ADMIT_TARGET = 0.8, ADMIT_CUT = 0.7, ADMIT_GAIN = 0.25, ADMIT_LEAST = 0.1;
-    /** A server that tells its load is sent what it should answer in time, with this much to spare. */
-    private static final double HEADROOM = 2;
     /** Requests that a tenant may be ahead of its share before it counts as beyond. */
     private static final double SHARE_SLACK = 5;
     /** Part of its time for which a request is held at most before a server has it. */
@@ -97,7 +95,7 @@
     /** Further attempts within the look-back: when, and how many requests had been taken by then. */
     private final ArrayDeque<long[]> extras = new ArrayDeque<>();
     private final Set<Attempt> outstanding = new LinkedHashSet<>();
-    private double meanUse = Double.NaN, meanOthers = Double.NaN, admitted = 1;
+    private double meanUse = Double.NaN, admitted = 1;
     private double rate, setupMicros;
     /** Buffers of the requests in hand that stream, and the bound on them. */
     private long buffered, mostBuffered = Long.MAX_VALUE;
@@ -122,7 +120,7 @@
         long openUntil;
         double limit = FIRST_LIMIT;
         long cutAt, pausedUntil, restUntil, reportedAt, suspectedAt;
-        double othersInFlight = Double.NaN, use = Double.NaN;
+        double use = Double.NaN;
         /** When its connection was last known to work, 0 if never; when a new one may be tried. */
         long usedAt, connectAt, returnedAt;
         int connectFailures;
@@ -145,7 +143,7 @@
         final Backend server;
         final int number;
         final long sentAt, idle;
-        final double usual, load, expected;
+        final double usual, expected;
         final boolean fresh;
         /** From when its server owes an answer: its sending, or the last byte of an upload. */
         long since;
@@ -153,14 +151,13 @@
         boolean suspected, counted, streams;
         Result result;
 
-        Attempt(Pending of, Backend server, long now, double usual, double load, boolean warm) {
+        Attempt(Pending of, Backend server, long now, double usual, boolean warm) {
             this.of = of;
             this.server = server;
             this.usual = usual;
-            this.load = load;
             number = of.attempts.size();
             sentAt = since = now;
-            expected = usual * Math.max(1, server.pace) * (1 + load);
+            expected = usual * Math.max(1, server.pace);
             fresh = !warm;
             idle = warm ? now - server.usedAt : 0;
         }
@@ -563,7 +560,7 @@
 
     private double cost(long now, Pending p, Backend b) {
         double works = 1 - fault(now, b, p.requestClass);
-        double cost = slowness(now, b) * (1 + load(now, b)) / (works * works + 0.01);
+        double cost = slowness(now, b) * (1 + b.out.size()) / (works * works + 0.01);
         if (!Double.isNaN(meanUse)) cost /= 1.1 - Math.min(1, use(now, b));
         if (sparse && !warm(now, b)) cost *= NEW_CONNECTION + SETUP_COST * setup(now) / aimMicros;
         return cost;
@@ -631,7 +628,7 @@
     /** Peak EWMA, and at least the age of the oldest attempt: a hanging server never gives a sample. */
     private double slowness(long now, Backend b) {
         Attempt oldest = oldest(b);
-        double age = oldest == null ? 0 : (now - oldest.since) / (oldest.usual * (1 + oldest.load));
+        double age = oldest == null ? 0 : (now - oldest.since) / oldest.usual;
         return Math.max(known(now, b), age);
     }
 
@@ -646,14 +643,6 @@
         return of >= 0 && of < paces.length ? paces[of] : 1;
     }
 
-    /** Own requests in flight, and those of others by the server's last report; an old one says the mean. */
-    private double load(long now, Backend b) {
-        if (Double.isNaN(meanOthers)) return b.out.size();
-        double last = Double.isNaN(b.othersInFlight) ? meanOthers : b.othersInFlight;
-        double keep = Math.exp(-2 * (now - b.reportedAt) / aimMicros);
-        return b.out.size() + meanOthers + (last - meanOthers) * keep;
-    }
-
     /** A server that came back before the list says so is as cold as one that the list calls new. */
     private double coldShare(long now, Backend b) {
         long start = b.maybeDead ? now : Math.max(b.line.startMicros(), b.returnedAt);
@@ -672,11 +661,6 @@
         if (cold < 1 && (b.out.size() >= Math.max(1, b.limit * cold / 2) || !chance(p, b, cold, among))) {
             return false;
         }
-        if (!Double.isNaN(meanOthers)) {
-            double load = load(now, b);
-            double end = now + HEADROOM * usual(p) * b.pace * (1 + load) + (warm(now, b) ? 0 : setup(now));
-            return end <= p.aimAt || load < 1 && p.rules.lateShare() > 0;
-        }
         return b.out.size() < b.limit && (sparse || now >= b.restUntil);
     }
 
@@ -744,8 +728,7 @@
             if (!p.over && p.out == 0) end(now, p, whyNot(now, p));
             return;
         }
-        double load = Double.isNaN(meanOthers) ? 0 : load(now, b);
-        Attempt a = new Attempt(p, b, now, usual(p), load, warm(now, b));
+        Attempt a = new Attempt(p, b, now, usual(p), warm(now, b));
         if (a.fresh && b.opened && b.out.size() == 0) {
             b.opened = false;
             b.usedAt = 0;
@@ -914,15 +897,14 @@
         int c = a.of.requestClass;
         answered(now, a, elapsed);
         zoneLimit(b).answered(elapsed / (double) Math.max(1, a.of.rules.aimMicros()));
-        double x = elapsed / (1 + a.load);
         double factor = a.usual / usualMicros[c];
-        usualMicros[c] += USUAL_WEIGHT * (Math.min(x / factor, 4 * usualMicros[c]) - usualMicros[c]);
+        usualMicros[c] += USUAL_WEIGHT * (Math.min(elapsed / factor, 4 * usualMicros[c]) - usualMicros[c]);
         // A slow set-up says nothing of the server.
-        if (a.fresh && sparse && x > HANGING * a.usual) return;
-        sample(now, b, x / a.usual);
-        b.pace += 5 * USUAL_WEIGHT * (Math.min(x / a.usual, 4) - b.pace);
-        kindPace = pool(kindPace, b.line.kind(), x / a.usual);
-        zonePace = pool(zonePace, b.line.zone(), x / a.usual);
+        if (a.fresh && sparse && elapsed > HANGING * a.usual) return;
+        sample(now, b, elapsed / a.usual);
+        b.pace += 5 * USUAL_WEIGHT * (Math.min(elapsed / a.usual, 4) - b.pace);
+        kindPace = pool(kindPace, b.line.kind(), elapsed / a.usual);
+        zonePace = pool(zonePace, b.line.zone(), elapsed / a.usual);
         limit(now, a, elapsed / factor);
     }
 
@@ -1050,12 +1032,6 @@
     }
 
     private void report(long now, Backend b, LoadReport report) {
-        if (report != null && !Double.isNaN(report.inFlight())) {
-            b.othersInFlight = Math.max(0, report.inFlight() - b.out.size());
-            meanOthers = Double.isNaN(meanOthers) ? b.othersInFlight
-                    : meanOthers + USUAL_WEIGHT * (b.othersInFlight - meanOthers);
-            b.reportedAt = now;
-        }
         if (settings.reports() != ReportSource.ANSWERS) return;
         if (report != null && !Double.isNaN(report.utilization())) {
             b.use = report.utilization();
