Split the module along its decisions into files that a reader can hold in mind

Need: Choice was one class of 1,100 lines in which every decision saw every field. Now LabelTree (zones, tenants' cells, path), Pick (cheaper of two, spill, room, slow start), Health (what answers, failures and silence tell; limits, outliers), Admission (by chance, shares), RetryBudget, Waiting, and Pending and Backend, what is known of a request and of a server, each own their state; Choice leads a request from its arrival to its one answer.

--- a/lab/src/main/java/sagefall/lab/model/Sidecar.java
+++ b/lab/src/main/java/sagefall/lab/model/Sidecar.java
@@ -206,7 +206,7 @@
             }
         });
         module.request(loop.now(), new Request(call.id, 0, call.wish.tenant, repeat, call.wish.key,
-                call.deadline, 0, true));
+                call.deadline, true));
     }
 
     private void deadline(Call call) {
--- a/lab/src/main/java/sagefall/lab/policy/PolicySource.java
+++ b/lab/src/main/java/sagefall/lab/policy/PolicySource.java
@@ -76,7 +76,7 @@
     private void change(Map<String, String> sources, String tunable, String value) throws PolicyException {
         int dot = tunable.indexOf('.');
         String constant = tunable.substring(dot + 1);
-        Pattern declared = Pattern.compile("(private static final (?:double|int|long) [^;]*?\\b"
+        Pattern declared = Pattern.compile("((?:private )?static final (?:double|int|long) [^;]*?\\b"
                 + Pattern.quote(constant) + "\\s*=\\s*)([^,;]+)");
         List<String> in = new ArrayList<>();
         for (Map.Entry<String, String> source : sources.entrySet()) {
--- /dev/null
+++ b/sidecar/src/main/java/sagefall/Admission.java
@@ -0,0 +1,81 @@
+package sagefall;
+
+import java.util.Arrays;
+
+/**
+ * Admission by chance, and what is beyond a tenant's share. A quiet sidecar sees no queue, only that answers
+ * come late; refused early, and what is beyond a share first.
+ */
+final class Admission {
+
+    /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
+    private static final double ADMIT_TARGET = 0.8, ADMIT_CUT = 0.7, ADMIT_GAIN = 0.25, ADMIT_LEAST = 0.1;
+    /** Requests that a tenant may be ahead of its share before it counts as beyond. */
+    private static final double SHARE_SLACK = 5;
+
+    private final LoadBalancer.Settings settings;
+    private final double aimMicros, totalShare, rateSpan;
+    private final double[] tenantCredit;
+    /** The part of the requests that is let in, from 0 to 1. */
+    double admitted = 1;
+    private double rate;
+    private long startedAt, rateAt;
+
+    Admission(LoadBalancer.Settings settings) {
+        this.settings = settings;
+        aimMicros = settings.aimMicros();
+        rateSpan = 2.0 * Math.max(1, settings.rules().fallMicros());
+        totalShare = settings.tenants().stream().mapToDouble(LoadBalancer.Tenant::share).sum();
+        tenantCredit = new double[Math.max(1, settings.tenants().size())];
+        Arrays.fill(tenantCredit, SHARE_SLACK);
+    }
+
+    /** The first list has come: requests may. */
+    void started(long now) {
+        if (startedAt == 0) startedAt = now;
+    }
+
+    /** Whether a draw from 0 to 1 keeps a request out. It may refuse what a better server could serve. */
+    boolean refuses(Pending p, double draw) {
+        return draw >= Math.pow(admitted, p.beyondShare ? 1 / settings.overShareWorth() : 1);
+    }
+
+    /** A request has come. */
+    void taken(long now) {
+        rate = rate * Math.exp(-(now - rateAt) / rateSpan) + admitted / rateSpan;
+        rateAt = now;
+    }
+
+    /** An answer, and what would be its aim. */
+    void answered(long elapsedMicros, double aim) {
+        if (elapsedMicros > ADMIT_TARGET * aim) crowded();
+        else admitted = Math.min(1, admitted + ADMIT_GAIN);
+    }
+
+    /** Something was late, full or out of reach. */
+    void crowded() {
+        admitted = Math.max(ADMIT_LEAST, admitted * ADMIT_CUT);
+    }
+
+    /** Requests a microsecond that this instance takes and admits. */
+    double rate(long now) {
+        double seen = 1 - Math.exp(-Math.max(aimMicros, now - startedAt) / rateSpan);
+        return rate * Math.exp(-(now - rateAt) / rateSpan) / seen;
+    }
+
+    /** Every request fills each tenant's account by its share; so no total rate has to be known. */
+    void countShare(Pending p) {
+        if (totalShare <= 0) return;
+        for (int t = 0; t < settings.tenants().size(); t++) {
+            double share = settings.tenants().get(t).share() / totalShare;
+            tenantCredit[t] = Math.min(SHARE_SLACK, tenantCredit[t] + share);
+        }
+        p.beyondShare = tenantCredit[p.tenant] < 1;
+        tenantCredit[p.tenant] = Math.max(-SHARE_SLACK, tenantCredit[p.tenant] - 1);
+    }
+
+    /** What an answer to it is worth to the platform. */
+    double value(Pending p) {
+        return p.rules.worth() * (p.beyondShare ? settings.overShareWorth() : 1);
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/sagefall/Backend.java
@@ -0,0 +1,57 @@
+package sagefall;
+
+import java.util.ArrayDeque;
+
+/** A server and all that this instance knows of it; kept by id when the tree is rebuilt. */
+final class Backend {
+
+    /** Own concurrency limit of a server at its start. */
+    static final double FIRST_LIMIT = 3;
+
+    final long id;
+    LoadBalancer.Server line;
+    boolean usable, listed;
+    /** Place in this instance's own stable order of servers. */
+    final long order;
+    int cell, cells;
+    /** Peak EWMA of latency in units of what is usual (NaN: no sample), and the plain EWMA. */
+    double slowness = Double.NaN, pace = 1;
+    long sampledAt;
+    final ArrayDeque<Pending.Attempt> out = new ArrayDeque<>();
+    int failures, backoff, suspects;
+    /** Ejected while above 0: no request before that time, then one trial. */
+    long openUntil;
+    double limit = FIRST_LIMIT;
+    long cutAt, pausedUntil, restUntil, reportedAt, suspectedAt;
+    double use = Double.NaN;
+    /** When its connection was last known to work, 0 if never; when a new one may be tried. */
+    long usedAt, connectAt, returnedAt;
+    int connectFailures;
+    boolean opened, maybeDead;
+    /** EWMA of what its answers to each class lack, and when that was last seen. */
+    final double[] classFault;
+    final long[] classSeenAt;
+
+    Backend(long id, int rank, int classes) {
+        this.id = id;
+        order = LabelTree.mix(id, rank);
+        classFault = new double[classes];
+        classSeenAt = new long[classes];
+    }
+
+    /**
+     * An attempt hangs, and nothing has come from the server since that was seen. Once something has, it is
+     * the connection that fell silent, or that request, which says nothing of the next one on another. Harm:
+     * a server that is slow rather than silent is sent more, within its limit.
+     */
+    boolean silent() {
+        return suspects > 0 && usedAt <= suspectedAt;
+    }
+
+    /** The attempt out for the longest time that still says something of the server. */
+    Pending.Attempt oldest() {
+        if (silent()) return out.peekFirst();
+        for (Pending.Attempt a : out) if (!a.suspected) return a;
+        return null;
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/sagefall/Health.java
@@ -0,0 +1,367 @@
+package sagefall;
+
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import sagefall.LoadBalancer.Outcome;
+import sagefall.LoadBalancer.Result;
+import sagefall.LoadBalancer.Settings;
+import sagefall.Pending.Attempt;
+
+/** What answers, failures and silence tell of servers, zones and classes; who is left alone for a while. */
+final class Health {
+
+    /** Time constants in aims: of latency; of a class fault and the distrust of idle connections. */
+    private static final double DECAY = 4, FAULT_MEMORY = 30;
+    /** Weight of one answer in what is usual for its class; in what is known of a kind, zone or class. */
+    private static final double USUAL_WEIGHT = 0.03, POOL_WEIGHT = 0.1;
+    /** What is usual before the first answer, in aims; weight of one set-up. */
+    private static final double FIRST_GUESS = 0.3, SETUP_WEIGHT = 0.3;
+    /** Unanswered for so many times what is expected is silence; outliers: failures, doublings of an aim. */
+    private static final int HANGING = 4, FAILURES = 3, MAX_BACKOFF = 4;
+    /** Most of the ready servers that may be outliers; pace from which a server's silence is its own. */
+    private static final double MAX_EJECTED = 0.5, SLOW_PACE = 1.5;
+    /** Own concurrency limit of a server: the part of the aim that cuts it, the cut, the least. */
+    private static final double LIMIT_TARGET = 0.5, LIMIT_CUT = 0.7, LIMIT_LEAST = 0.2;
+    /** What cuts it where aims are short: times what is usual, up to that part of the aim. */
+    private static final double LIMIT_USUAL = 1.25, LIMIT_MOST = 0.6;
+    /** Reported use from which a slow answer is taken for a queue. */
+    private static final double BUSY = 0.5;
+
+    private final Settings settings;
+    private final LoadBalancer.Actions actions;
+    private final SplittableRandom random;
+    private final LabelTree tree;
+    private final Admission admission;
+    /** The mean over the classes of what an answer should take at most. */
+    final double aimMicros;
+    private final double[] usualMicros, classFaults;
+    private double[] kindPace = {}, zonePace = {};
+    private final ZoneLimit[] zoneLimits;
+    private final Set<Attempt> outstanding = new LinkedHashSet<>();
+    /** Mean reported use, NaN where none is reported. */
+    double meanUse = Double.NaN;
+    /** When a new connection last showed what a set-up takes. */
+    long setupAt;
+    private double setupMicros;
+    private long distrustedAt, idleTrust = Long.MAX_VALUE;
+    private int ejected;
+
+    Health(Settings settings, LoadBalancer.Actions actions, SplittableRandom random, LabelTree tree,
+            Admission admission) {
+        this.settings = settings;
+        this.actions = actions;
+        this.random = random;
+        this.tree = tree;
+        this.admission = admission;
+        aimMicros = settings.aimMicros();
+        usualMicros = settings.classes().stream().mapToDouble(c -> c.timeMicros() * FIRST_GUESS).toArray();
+        classFaults = new double[usualMicros.length];
+        zoneLimits = Stream.generate(ZoneLimit::new).limit(Math.max(1, settings.zones().size()))
+                .toArray(ZoneLimit[]::new);
+    }
+
+    // ---- What is known
+
+    /** Whether a zone holds as many of the own requests as it may. */
+    boolean anyZoneFull() {
+        for (ZoneLimit zone : zoneLimits) if (zone.full()) return true;
+        return false;
+    }
+
+    double usual(Pending p) {
+        return usualMicros[p.requestClass];
+    }
+
+    /** Part of a class that the server leaves unanswered; without own samples, what is so everywhere. */
+    double fault(long now, Backend b, int c) {
+        if (b.classSeenAt[c] == 0) return classFaults[c];
+        double keep = Math.exp(-(now - b.classSeenAt[c]) / (FAULT_MEMORY * aimMicros));
+        return classFaults[c] + (b.classFault[c] - classFaults[c]) * keep;
+    }
+
+    double use(long now, Backend b) {
+        if (Double.isNaN(b.use)) return meanUse;
+        return meanUse + (b.use - meanUse) * Math.exp(-(now - b.reportedAt) / (DECAY * aimMicros));
+    }
+
+    /** A connection that was used a moment ago; one idle for longer than those that died is not trusted. */
+    boolean warm(long now, Backend b) {
+        return b.usedAt != 0 && now - b.usedAt < Math.min(trust(now), settings.limits().idleMicros());
+    }
+
+    double setup(long now) {
+        return setupMicros * Math.exp(-(now - setupAt) / (FAULT_MEMORY * aimMicros));
+    }
+
+    private void setUp(long now, double micros) {
+        setupMicros = setup(now) + SETUP_WEIGHT * (micros - setup(now));
+        setupAt = now;
+    }
+
+    long trust(long now) {
+        return now - distrustedAt < FAULT_MEMORY * aimMicros ? idleTrust : Long.MAX_VALUE;
+    }
+
+    /** Peak EWMA, and at least the age of the oldest attempt: a hanging server never gives a sample. */
+    double slowness(long now, Backend b) {
+        Attempt oldest = b.oldest();
+        double age = oldest == null ? 0 : (now - oldest.since) / oldest.usual;
+        return Math.max(known(now, b), age);
+    }
+
+    /** Drifts to what is usual for kind and zone between samples, and starts there. */
+    private double known(long now, Backend b) {
+        double usual = pooled(kindPace, b.line.kind()) * pooled(zonePace, b.line.zone());
+        if (Double.isNaN(b.slowness)) return usual;
+        return usual + (b.slowness - usual) * Math.exp(-(now - b.sampledAt) / (2 * DECAY * aimMicros));
+    }
+
+    private static double pooled(double[] paces, int of) {
+        return of >= 0 && of < paces.length ? paces[of] : 1;
+    }
+
+    /** A server that came back before the list says so is as cold as one that the list calls new. */
+    double coldShare(long now, Backend b) {
+        long start = b.maybeDead ? now : Math.max(b.line.startMicros(), b.returnedAt);
+        long cold = settings.rules().coldMicros();
+        if (start <= 0 || now - start >= cold) return 1;
+        double from = settings.rules().coldFrom();
+        return Math.min(1, from + (1 - from) * Math.max(0, now - start) / cold);
+    }
+
+    ZoneLimit zoneLimit(Backend b) {
+        return zoneLimits[Math.min(Math.max(0, b.line.zone()), zoneLimits.length - 1)];
+    }
+
+    // ---- What comes back
+
+    /** From now on its server owes an answer. */
+    void owed(long now, Attempt a) {
+        a.since = now;
+        a.counted = true;
+        outstanding.add(a);
+        a.server.out.addLast(a);
+        zoneLimit(a.server).sent();
+    }
+
+    /** It no longer does. */
+    void settled(Attempt a) {
+        if (!a.counted) return;
+        a.counted = false;
+        zoneLimit(a.server).ended();
+        a.server.out.remove(a);
+        outstanding.remove(a);
+        if (a.suspected) a.server.suspects--;
+    }
+
+    void learn(long now, Attempt a, Outcome o) {
+        Backend b = a.server;
+        int c = a.of.requestClass;
+        switch (o.result()) {
+            case SERVED -> {
+                report(now, b, o.report());
+                served(now, a, o.elapsedMicros());
+            }
+            case FULL -> {
+                // Full is busy, not sick: shrink the limit and stay away for one usual answer.
+                b.usedAt = now;
+                b.opened = true;
+                faulty(now, b, c);
+                admission.crowded();
+                zoneLimit(b).crowded();
+                b.limit = Math.max(1, b.limit * LIMIT_CUT);
+                b.pausedUntil = now + (long) (a.usual / 2 + random.nextDouble() * a.usual);
+            }
+            case NO_CONNECTION -> {
+                // At its limit, slow to set up, or down: only new connections stay away.
+                setUp(now, 2 * o.elapsedMicros());
+                admission.crowded();
+                b.usedAt = 0;
+                double wait = aimMicros * (1 << Math.min(b.connectFailures++, MAX_BACKOFF));
+                // A process that dies refuses connections for a while; broken ones come from any server.
+                if (b.connectFailures > 1) b.maybeDead = true;
+                b.connectAt = now + (long) (wait * (0.75 + random.nextDouble() / 2));
+            }
+            case CANCELLED, NOT_SENT -> { }
+            default -> {
+                // A client that has no patience says nothing of the server.
+                if (o.result() == Result.TIMED_OUT && o.elapsedMicros() * 2 < HANGING * a.expected) return;
+                if (o.result() == Result.TIMED_OUT) zoneLimit(b).crowded();
+                if (o.result() == Result.TIMED_OUT && !a.suspected) suspect(now, a, false);
+                if (known(now, b) * a.usual > LIMIT_TARGET * a.of.rules.aimMicros()) admission.crowded();
+                // What a connection that was idle did not bring may be its own fault; an error is a word.
+                boolean word = o.result() == Result.ERROR;
+                if (!word && (a.idle > aimMicros / 4 || a.suspected && b.usedAt > b.suspectedAt)) return;
+                if (word) faulty(now, b, c);
+                sample(now, b, Math.max(o.elapsedMicros(), aimMicros) / a.usual);
+                if (b.openUntil != 0 || ++b.failures >= FAILURES) eject(now, b, o.result().toString());
+            }
+        }
+    }
+
+    /** What the time of an answer tells, or that of the beginning of a streamed one. */
+    void served(long now, Attempt a, long elapsed) {
+        Backend b = a.server;
+        int c = a.of.requestClass;
+        answered(now, a, elapsed);
+        zoneLimit(b).answered(elapsed / (double) Math.max(1, a.of.rules.aimMicros()));
+        // What is usual may have moved since it was sent.
+        double factor = a.usual / usualMicros[c];
+        usualMicros[c] += USUAL_WEIGHT * (Math.min(elapsed / factor, 4 * usualMicros[c]) - usualMicros[c]);
+        // A slow set-up says nothing of the server.
+        if (a.fresh && tree.sparse && elapsed > HANGING * a.usual) return;
+        sample(now, b, elapsed / a.usual);
+        b.pace += 5 * USUAL_WEIGHT * (Math.min(elapsed / a.usual, 4) - b.pace);
+        kindPace = pool(kindPace, b.line.kind(), elapsed / a.usual);
+        zonePace = pool(zonePace, b.line.zone(), elapsed / a.usual);
+        limit(now, a, elapsed / factor);
+    }
+
+    /** The end of a streamed answer, which took as long as its reader; that it broke is a failed attempt. */
+    void streamed(long now, Attempt a, Outcome o) {
+        Backend b = a.server;
+        if (o.result() == Result.SERVED) {
+            b.usedAt = now;
+            report(now, b, o.report());
+        } else if (o.result() != Result.CANCELLED) {
+            sample(now, b, aimMicros / a.usual);
+            if (b.openUntil != 0 || ++b.failures >= FAILURES) eject(now, b, "streams end as " + o.result());
+        }
+    }
+
+    /** An answer clears the server, its connection and the class. */
+    private void answered(long now, Attempt a, long elapsed) {
+        Backend b = a.server;
+        int c = a.of.requestClass;
+        if (a.fresh) setUp(now, Math.max(0, elapsed - a.expected));
+        b.usedAt = now;
+        b.opened = true;
+        b.connectFailures = 0;
+        b.connectAt = 0;
+        if (b.maybeDead) b.returnedAt = now;
+        b.maybeDead = false;
+        b.failures = 0;
+        b.classFault[c] = fault(now, b, c) / 2;
+        b.classSeenAt[c] = now;
+        classFaults[c] -= POOL_WEIGHT * classFaults[c];
+        // It was slow after all: neither its connection nor the others' had died.
+        if (a.suspected && a.idle > 0) idleTrust = Long.MAX_VALUE;
+        if (b.openUntil != 0) {
+            b.backoff = Math.max(0, b.backoff - 1);
+            close(b);
+            actions.log("server " + b.id + " re-admitted");
+        }
+        admission.answered(elapsed, a.of.rules.aimMicros() * a.usual / usualMicros[c]);
+    }
+
+    /** Looks at attempts without an answer for far longer than expected; the list is in order of sending. */
+    void watch(long now) {
+        for (Attempt a : outstanding) {
+            if (now - a.since < aimMicros / 2) break;
+            if (!a.suspected && now - a.since > HANGING * a.expected) suspect(now, a, true);
+        }
+    }
+
+    /**
+     * Silence. After an idle spell it is the connection that died: such spells are not trusted for a while,
+     * elsewhere either. While the server answers others it is the class. Else it is the server.
+     */
+    private void suspect(long now, Attempt a, boolean out) {
+        Backend b = a.server;
+        if (out) {
+            a.suspected = true;
+            b.suspects++;
+            b.suspectedAt = now;
+        }
+        faulty(now, b, a.of.requestClass);
+        if (b.usedAt <= a.since && a.idle > aimMicros / 4 && b.pace < SLOW_PACE) {
+            idleTrust = Math.min(trust(now), a.idle) / 2;
+            distrustedAt = now;
+            b.usedAt = 0;
+            actions.log("idle connections are not trusted: no answer after " + a.idle / 1000 + " ms idle");
+            return;
+        }
+        if (b.usedAt <= a.since) eject(now, b, "no answer for " + (now - a.since) / 1000 + " ms");
+    }
+
+    /** A class that is turned away or fails while others are served must not look fast or idle. */
+    private void faulty(long now, Backend b, int c) {
+        b.classFault[c] = (1 + fault(now, b, c)) / 2;
+        b.classSeenAt[c] = now;
+        classFaults[c] += POOL_WEIGHT * (1 - classFaults[c]);
+    }
+
+    private static double[] pool(double[] paces, int of, double x) {
+        if (of < 0) return paces;
+        double[] all = of < paces.length ? paces : Arrays.copyOf(paces, of + 1);
+        if (all != paces) Arrays.fill(all, paces.length, of + 1, 1);
+        all[of] += POOL_WEIGHT * (Math.min(x, 4) - all[of]);
+        return all;
+    }
+
+    /** Peak EWMA: up at once, down with time. */
+    private void sample(long now, Backend b, double x) {
+        boolean peak = Double.isNaN(b.slowness) || x > known(now, b);
+        b.slowness = peak ? x : x + (b.slowness - x) * Math.exp(-(now - b.sampledAt) / (DECAY * aimMicros));
+        b.sampledAt = now;
+    }
+
+    /**
+     * Concurrency limit by AIMD against the aim: keeps queues where answers are still in time. While a server
+     * reports free cores it grows by a whole slot, as in a slow start, so that a restart or a burst is not
+     * answered by refusals. Harm: where reports come late a burst may queue for as long.
+     */
+    private void limit(long now, Attempt a, double elapsed) {
+        Backend b = a.server;
+        // Many sidecars share few cores: one request of each may be too many; below one, rest between sends.
+        b.restUntil = now + (long) (elapsed * (1 / Math.min(1, b.limit) - 1));
+        double aim = a.of.rules.aimMicros();
+        double usual = LIMIT_USUAL * usualMicros[a.of.requestClass];
+        if (elapsed > Math.min(Math.max(LIMIT_TARGET * aim, usual), LIMIT_MOST * aim)) {
+            // Who reports free cores has no queue; a large limit is cut all the same, as reports come late.
+            boolean queue = Double.isNaN(b.use) || use(now, b) > BUSY || b.limit > 2 * Backend.FIRST_LIMIT;
+            if (a.sentAt >= b.cutAt && queue) {
+                b.limit = Math.max(tree.sparse ? 1 : LIMIT_LEAST, b.limit * LIMIT_CUT);
+                b.cutAt = now;
+            }
+        } else if (b.out.size() + 1 >= b.limit / 2) {
+            boolean free = !Double.isNaN(b.use) && use(now, b) < BUSY && b.out.size() + 1 >= b.limit;
+            b.limit += b.limit < 1 ? b.limit / 4 : free ? 1 : 1 / b.limit;
+        }
+    }
+
+    private void report(long now, Backend b, LoadBalancer.LoadReport report) {
+        if (settings.reports() != LoadBalancer.ReportSource.ANSWERS) return;
+        if (report != null && !Double.isNaN(report.utilization())) {
+            b.use = report.utilization();
+            zoneLimit(b).reported(b.use);
+            meanUse = Double.isNaN(meanUse) ? b.use : meanUse + USUAL_WEIGHT * (b.use - meanUse);
+            b.reportedAt = now;
+        } else if (!Double.isNaN(meanUse)) {
+            // A report missing where one is usual means busy, not idle.
+            b.use = Math.max(use(now, b), (1 + meanUse) / 2);
+            b.reportedAt = now;
+        }
+    }
+
+    // ---- Outlier ejection
+
+    void eject(long now, Backend b, String why) {
+        if (!b.usable || b.openUntil == 0 && ejected + 1 > MAX_EJECTED * tree.ready.size()) return;
+        if (b.openUntil == 0) {
+            ejected++;
+            actions.log("server " + b.id + " ejected: " + why);
+        }
+        double wait = aimMicros * (1 << Math.min(b.backoff++, MAX_BACKOFF));
+        b.openUntil = now + (long) (wait * (0.75 + random.nextDouble() / 2));
+        b.failures = 0;
+    }
+
+    void close(Backend b) {
+        if (b.openUntil != 0) ejected--;
+        b.openUntil = 0;
+    }
+}
--- a/sidecar/src/main/java/sagefall/LoadBalancer.java
+++ b/sidecar/src/main/java/sagefall/LoadBalancer.java
@@ -37,12 +37,16 @@
 
     /** A class of requests: its effect, its times and what an answer is worth. */
     record RequestClass(String name, Effect effect, Group group, long dedupWindowMicros, long aimMicros,
-            double aimStretch, long deadlineMicros, double worth, double lateShare, boolean streaming) {
+            long deadlineMicros, double worth, double lateShare, boolean streaming) {
         public RequestClass {
             require(aimMicros >= 0 && deadlineMicros >= 0 && dedupWindowMicros >= 0,
                     "class '" + name + "' has a negative time");
-            require(worth >= 0 && lateShare >= 0 && aimStretch >= 0,
-                    "class '" + name + "' has a negative worth");
+            require(worth >= 0 && lateShare >= 0, "class '" + name + "' has a negative worth");
+        }
+
+        /** What an answer should take at most, in microseconds: the aim, else the deadline. */
+        long timeMicros() {
+            return Math.max(1, aimMicros > 0 ? aimMicros : deadlineMicros);
         }
     }
 
@@ -57,17 +61,10 @@
     record Limits(int attempts, boolean cancelling, boolean retryAdvice, long maxRetryAdviceMicros,
             long idleMicros, int open) { }
 
-    /**
-     * Figures of the rules on drains, on cold servers and on further attempts: within the look-back at most
-     * the floor and so many for each request taken; a look-back of 0 means that there is no such rule.
-     */
-    record Rules(double coldFrom, long coldMicros, long fallMicros, long askEveryMicros, double extraFloor,
-            double extraPerRequest, long lookBackMicros) {
+    /** Figures of the rules on lists and on cold servers. */
+    record Rules(double coldFrom, long coldMicros, long fallMicros, long askEveryMicros) {
         public Rules {
-            require(coldMicros >= 0 && fallMicros >= 0 && askEveryMicros >= 0 && lookBackMicros >= 0,
-                    "a rule has a negative time");
-            require(extraFloor >= 0 && extraPerRequest >= 0 && extraPerRequest <= 1,
-                    "the retry budget is negative or above one a request");
+            require(coldMicros >= 0 && fallMicros >= 0 && askEveryMicros >= 0, "a rule has a negative time");
         }
     }
 
@@ -80,6 +77,18 @@
             require(overShareWorth >= 0, "a worth is negative");
             require(tickMicros >= 0, "the tick is negative");
         }
+
+        /** The mean over the classes of what an answer should take at most, in microseconds. */
+        double aimMicros() {
+            double sum = 0;
+            for (RequestClass c : classes) sum += c.timeMicros();
+            return sum / classes.size();
+        }
+
+        /** Whether a class may simply be repeated. */
+        boolean anySafe() {
+            return classes.stream().anyMatch(c -> c.effect() == Effect.SAFE);
+        }
     }
 
     private static void require(boolean held, String otherwise) {
@@ -90,16 +99,16 @@
     record Server(long id, int zone, int kind, int cell, Phase phase, long startMicros, double weight) { }
 
     /**
-     * A request. A key below 0 or a hint of 0 means that there is none. Of an upload only the head has come:
-     * its body passes through as it arrives. The buffer is what a request that streams may hold of the
+     * A request. A key below 0 means that there is none. Of an upload only the head has come: its body
+     * passes through as it arrives. The buffer is what a request that streams may hold of the
      * process's memory for buffers until nothing of it is left; one that is passed on whole has none.
      */
     record Request(String id, int requestClass, int tenant, boolean repeat, long key, long deadlineMicros,
-            long hintMicros, boolean write, boolean upload, long bufferBytes) {
+            boolean write, boolean upload, long bufferBytes) {
 
         public Request(String id, int requestClass, int tenant, boolean repeat, long key, long deadlineMicros,
-                long hintMicros, boolean write) {
-            this(id, requestClass, tenant, repeat, key, deadlineMicros, hintMicros, write, false, 0);
+                boolean write) {
+            this(id, requestClass, tenant, repeat, key, deadlineMicros, write, false, 0);
         }
     }
 
--- /dev/null
+++ b/sidecar/src/main/java/sagefall/RetryBudget.java
@@ -0,0 +1,24 @@
+package sagefall;
+
+/** The retry budget: further attempts as a part of first tries, so that failures can't multiply the load. */
+final class RetryBudget {
+
+    /** Further attempts that a first try earns; how many are saved. */
+    private static final double RETRY_SHARE = 0.15, RETRY_SAVED = 10;
+
+    private double tokens = RETRY_SAVED / 2;
+
+    /** A request has come. */
+    void taken() {
+        tokens = Math.min(RETRY_SAVED, tokens + RETRY_SHARE);
+    }
+
+    boolean allows() {
+        return tokens >= 1;
+    }
+
+    /** A further attempt goes out. */
+    void spent() {
+        tokens--;
+    }
+}
--- a/sidecar/src/main/java/sagefall/SettingsReader.java
+++ b/sidecar/src/main/java/sagefall/SettingsReader.java
@@ -40,9 +40,7 @@
                         Json.whole(limits, "conn_idle_us", Long.MAX_VALUE),
                         (int) Json.whole(limits, "open_cap", Integer.MAX_VALUE)),
                 new Rules(Json.real(rules, "cold_from", 1), Json.whole(rules, "cold_us", 0),
-                        Json.whole(rules, "fall_us", 0), Json.whole(rules, "ask_every_us", 0),
-                        Json.real(rules, "extra_floor", 0), Json.real(rules, "extra_per_request", 0),
-                        Json.whole(rules, "look_back_us", 0)),
+                        Json.whole(rules, "fall_us", 0), Json.whole(rules, "ask_every_us", 0)),
                 reports, "ask".equals(f.get("discovery")), Json.flag(Json.object(f, "domain"), "warm_keys"),
                 Json.whole(f, "tick_us", 1000));
     }
@@ -78,7 +76,7 @@
         };
         return new RequestClass(String.valueOf(c.get("name")), effect, group,
                 Json.whole(c, "dedup_window_us", 0), Json.whole(c, "aim_us", 0),
-                Json.real(c, "aim_stretch", 0), Json.whole(c, "deadline_us", 0),
+                Json.whole(c, "deadline_us", 0),
                 Json.real(c, "worth", 1), Json.real(c, "late_value", 0), Json.flag(c, "streaming"));
     }
 }
--- a/sidecar/src/main/java/sagefall/sidecar/RequestReader.java
+++ b/sidecar/src/main/java/sagefall/sidecar/RequestReader.java
@@ -70,13 +70,12 @@
         }
         long timeout = number(headers, Headers.TIMEOUT, 1) * 1000;
         long deadline = now + timeout - Math.min(MARGIN_MICROS, timeout / MARGIN_PART);
-        long hint = headers.contains(Headers.HINT) ? number(headers, Headers.HINT, 0) : 0;
         long key = slash < 0 || slash == path.length() - 1 ? -1
                 : Ids.of(path.substring(path.lastIndexOf('/') + 1));
         boolean repeat = headers.contains(Headers.RETRY, "1", false);
         long streamed = streaming.bounds(known.name()).answerBytes();
         Request request = new Request(id, classes.get(known.name()), tenant(headers), repeat, key, deadline,
-                hint, write, upload != null, streaming.hold(upload != null, streamed > 0));
+                write, upload != null, streaming.hold(upload != null, streamed > 0));
         return new Call(request, http.method(), http.uri(), headers, body, upload, streamed, client);
     }
 
--- a/sidecar/src/main/java/sagefall/simhost/Fields.java
+++ b/sidecar/src/main/java/sagefall/simhost/Fields.java
@@ -85,8 +85,7 @@
 
     Request request() throws WireException {
         return new Request(text("ticket"), (int) number("type"), (int) number("client_group", 0),
-                flag("repeat"), number("target_key", -1), number("drop_dead_us"), number("expected_us", 0),
-                flag("mutates"));
+                flag("repeat"), number("target_key", -1), number("drop_dead_us"), flag("mutates"));
     }
 
     Outcome outcome() throws WireException {
--- a/sidecar/src/test/java/sagefall/FleetTest.java
+++ b/sidecar/src/test/java/sagefall/FleetTest.java
@@ -1,14 +1,12 @@
 package sagefall;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.SplittableRandom;
 import sagefall.LoadBalancer.Effect;
 import sagefall.LoadBalancer.Group;
 import sagefall.LoadBalancer.Limits;
@@ -18,14 +16,10 @@
 import sagefall.LoadBalancer.Rules;
 import sagefall.LoadBalancer.Settings;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
 
 /** What hundreds of quiet sidecars change: each test names the failure that it stands for. */
 class FleetTest {
 
-    private static final long SPAN = 5_000_000;
-
     private static Settings fleet(int rank, int replicas, Rules rules, boolean warmKeys) {
         Settings s = Recorder.settings(Effect.UNSAFE, Group.ALL);
         return new Settings(1000 + rank, rank, replicas, 0, s.zones(), s.classes(), s.tenants(),
@@ -33,61 +27,7 @@
     }
 
     private static Rules plain() {
-        return new Rules(0.2, 10_000_000, 2_000_000, 10_000_000, 0, 0, 0);
-    }
-
-    private static Rules budget(double floor, double perRequest) {
-        return new Rules(0.2, 10_000_000, 2_000_000, 10_000_000, floor, perRequest, SPAN);
-    }
-
-    /** The grown nairobi broke its budget. By brute force over all windows of a random run. */
-    @ParameterizedTest
-    @ValueSource(longs = {3, 4, 5, 6})
-    void retryBudgetHoldsInEveryWindow(long seed) {
-        SplittableRandom random = new SplittableRandom(seed);
-        Recorder r = new Recorder(fleet(0, 3, budget(2, 0.03), false), 8);
-        List<Long> arrivals = new ArrayList<>();
-        List<Long> extras = new ArrayList<>();
-        Set<String> seen = new HashSet<>();
-        int next = 0;
-        for (int i = 0; i < 3000; i++) {
-            r.now += random.nextInt(random.nextInt(10) == 0 ? 2_000_000 : 20_000);
-            arrivals.add(r.now);
-            r.request("r" + i);
-            for (; next < r.sent.size(); next++) {
-                if (!seen.add(r.sent.get(next).request())) {
-                    extras.add(r.sent.get(next).at());
-                    r.answer(1, Result.SERVED, 1000, true);
-                } else if (random.nextInt(3) == 0) {
-                    r.answer(0, Result.FULL, 0, false);
-                } else {
-                    r.answer(0, Result.SERVED, 5000, true);
-                }
-            }
-        }
-        assertTrue(extras.size() > 20, "only " + extras.size() + " further attempts");
-        for (long from : extras) {
-            long tries = extras.stream().filter(t -> t >= from && t < from + SPAN).count();
-            long taken = arrivals.stream().filter(t -> t >= from && t < from + SPAN).count();
-            assertTrue(tries <= 2 + 0.03 * taken, tries + " further attempts and " + taken + " requests");
-        }
-    }
-
-    @Test
-    void quietSidecarHasTheFloorAndAFloorUnderOneAllowsNothing() {
-        for (double floor : new double[] {2, 0.9}) {
-            Recorder r = new Recorder(fleet(0, 3, budget(floor, 0.03), false), 8);
-            r.request("x");
-            r.answer(0, Result.FULL, 1000, false);
-            assertEquals(floor >= 1 ? 2 : 1, r.sent.size());
-        }
-    }
-
-    @Test
-    void impossibleBudgetsAreNamed() {
-        assertThrows(IllegalArgumentException.class, () -> budget(-1, 0.03));
-        assertThrows(IllegalArgumentException.class, () -> budget(2, -0.1));
-        assertThrows(IllegalArgumentException.class, () -> budget(2, 1.1));
+        return new Rules(0.2, 10_000_000, 2_000_000, 10_000_000);
     }
 
     /** 400 instances with a request each second: what all send a cold server is its share, in any second. */
@@ -184,7 +124,7 @@
         Set<Long> servers = new HashSet<>();
         for (int rank = 0; rank < 30; rank++) {
             Recorder r = new Recorder(fleet(rank, 400, plain(), true), 60);
-            r.choice.request(r.now, new Request("x", 0, 0, false, 77, r.now + 1_000_000, 0, false));
+            r.choice.request(r.now, new Request("x", 0, 0, false, 77, r.now + 1_000_000, false));
             servers.add(r.sent.get(0).server());
         }
         assertEquals(1, servers.size());
--- a/sidecar/src/test/java/sagefall/Recorder.java
+++ b/sidecar/src/test/java/sagefall/Recorder.java
@@ -47,15 +47,15 @@
 
     static Settings settings(Effect effect, Group group) {
         return new Settings(7, 0, 3, 0, List.of("a", "b"),
-                List.of(new RequestClass("c", effect, group, 500_000, 200_000, 0, 1_000_000, 1, 0, false)),
+                List.of(new RequestClass("c", effect, group, 500_000, 200_000, 1_000_000, 1, 0, false)),
                 List.of(new Tenant("t", 0.5), new Tenant("u", 0.5)), 0.2,
                 new Limits(4, true, true, 1_000_000, 60_000_000, 100),
-                new Rules(0.2, 10_000_000, 2_000_000, 10_000_000, 0, 0, 0), ReportSource.NONE, false, false,
+                new Rules(0.2, 10_000_000, 2_000_000, 10_000_000), ReportSource.NONE, false, false,
                 1000);
     }
 
     void request(String id) {
-        choice.request(now, new Request(id, 0, 0, false, -1, now + 1_000_000, 0, false));
+        choice.request(now, new Request(id, 0, 0, false, -1, now + 1_000_000, false));
     }
 
     /** Ends the last attempt that was sent. */
--- a/sidecar/src/test/java/sagefall/RulesTest.java
+++ b/sidecar/src/test/java/sagefall/RulesTest.java
@@ -104,7 +104,7 @@
     @Test
     void arrivalAtItsDeadlineIsAnsweredAtOnce() {
         Recorder r = new Recorder(Recorder.settings(Effect.SAFE, Group.ALL), 4);
-        r.choice.request(r.now, new Request("x", 0, 0, false, -1, r.now, 0, false));
+        r.choice.request(r.now, new Request("x", 0, 0, false, -1, r.now, false));
         assertEquals(List.of("x"), r.refused);
         assertTrue(r.sent.isEmpty());
     }
@@ -160,7 +160,7 @@
     void whereManyAreInHandTheHeldAreRefusedBeforeHalfOfTheirTime() {
         Settings s = Recorder.settings(Effect.UNSAFE, Group.ALL);
         Recorder r = new Recorder(new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(),
-                List.of(new RequestClass("c", Effect.UNSAFE, Group.ALL, 0, 200_000, 0, 1_000_000, 1, 0.5,
+                List.of(new RequestClass("c", Effect.UNSAFE, Group.ALL, 0, 200_000, 1_000_000, 1, 0.5,
                         false)),
                 s.tenants(), s.overShareWorth(), s.limits(), s.rules(), s.reports(),
                 s.discoveryOnAsk(), s.warmKeys(), s.tickMicros()), 4);
@@ -325,8 +325,7 @@
         Recorder b = new Recorder(Recorder.settings(Effect.SAFE, Group.ALL), 6);
         for (int i = 0; i < 200; i++) {
             for (Recorder r : List.of(a, b)) {
-                r.choice.request(r.now, new Request("r" + i, 0, i % 2, false, -1, r.now + 1_000_000, 0,
-                        false));
+                r.choice.request(r.now, new Request("r" + i, 0, i % 2, false, -1, r.now + 1_000_000, false));
                 r.answer(0, i % 9 == 0 ? Result.FULL : Result.SERVED, 3000 + i, i % 9 != 0);
             }
         }
--- a/sidecar/src/test/java/sagefall/sidecar/ServerPoolTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/ServerPoolTest.java
@@ -81,7 +81,7 @@
 
     private Attempt send(int port) throws Exception {
         long now = clock.micros();
-        Request request = new Request(Harness.Client.id(), 0, 0, false, -1, now + 60_000_000, 0, false);
+        Request request = new Request(Harness.Client.id(), 0, 0, false, -1, now + 60_000_000, false);
         Call call = new Call(request, HttpMethod.GET, "/search", new DefaultHttpHeaders(), new byte[0],
                 null, 0, null);
         Attempt attempt = new Attempt(call, Ids.of("s-" + port), now, request.deadlineMicros());
