Let a test's server answer by the script of when the request came

Seen: SidecarTest.workInHandIsAnsweredAtTheEnd failed once in a whole run and in 2 of 15 runs alone, eight busy cores each time: the request that the server was to hold got the answer meant for the next one ("expected held but was late"). Checked: no second attempt and no time-out, as the answer came on the first connection. At fault: Stub.talk, which told the test of a request before it read the script that the test then changed. The script is now read first.

--- a/sidecar/src/test/java/sagefall/sidecar/Stub.java
+++ b/sidecar/src/test/java/sagefall/sidecar/Stub.java
@@ -105,8 +105,10 @@
             InputStream in = socket.getInputStream();
             for (Http.Message m; (m = Http.read(in)) != null;) {
                 Seen next = new Seen(m, socket);
+                // Whoever hears of this request may change the script for the next one.
+                Script mine = script;
                 seen.add(next);
-                script.on(next);
+                mine.on(next);
             }
         } catch (IOException e) {
             // The peer hung up, which a test may want.
