Rig: two replicas each tell their own sidecars; blackout, drains, wrong clocks

At fault: Rig.start, which asked replica() for the sidecars of a replica while the list of replicas was still growing: with one in it all sidecars were its own, the second then made views for half of them too, and the ways led to whichever answered last.

New faults of real processes: drain (servers that are to drain and go on), wrong_clock, power_loss with how = "stale" (each sidecar finds the configuration of its first start). fleet.keeps gives sidecars the section recovery. The check DRAIN now also holds a sidecar to what it was told before it was killed, where the list that it finds is old.

--- a/lab/src/main/java/sagefall/lab/rig/Rig.java
+++ b/lab/src/main/java/sagefall/lab/rig/Rig.java
@@ -229,7 +229,8 @@
             replicas.add(child);
             ObjectNode command = History.JSON.createObjectNode().put("do", "views");
             ArrayNode who = command.putArray("who");
-            List<SidecarMember> mine = sidecars.stream().filter(s -> replica(s.index()) == child).toList();
+            int number = r;
+            List<SidecarMember> mine = sidecars.stream().filter(s -> s.index() % REPLICAS == number).toList();
             mine.forEach(s -> who.add(s.index()));
             all.add(child.ask(command).thenAccept(answer -> {
                 for (int i = 0; i < mine.size(); i++) {
@@ -377,7 +378,7 @@
     }
 
     Child replica(int sidecar) {
-        return replicas.get(sidecar % REPLICAS % replicas.size());
+        return replicas.get(sidecar % REPLICAS);
     }
 
     RequestClass requestClass() {
--- a/lab/src/main/java/sagefall/lab/rig/Schedule.java
+++ b/lab/src/main/java/sagefall/lab/rig/Schedule.java
@@ -38,10 +38,10 @@
             List<SidecarMember> from = zonal && f.zone() >= 0
                     ? rig.sidecars().stream().filter(s -> s.zone() == f.zone()).toList() : rig.sidecars();
             switch (f.kind()) {
-                case LOSE_SERVERS, SLOW, ERRORS, PAUSES, REPLACE, REBORN ->
+                case LOSE_SERVERS, SLOW, ERRORS, PAUSES, REPLACE, REBORN, DRAIN ->
                         items.add(new Item(place, d, List.copyOf(d.some(rig.first())), List.of()));
                 case KILL_SIDECARS, RESTART_SIDECARS, DEAF, STOP_SIDECARS, SLOW_SIDECARS, CUT_SIDECARS,
-                        FLAP_LINKS, DELAY_LINKS, CUT_BYTES, POWER_LOSS ->
+                        FLAP_LINKS, DELAY_LINKS, CUT_BYTES, POWER_LOSS, WRONG_CLOCK ->
                         items.add(new Item(place, d, List.of(), List.copyOf(d.some(from))));
                 default -> items.add(new Item(place, d, List.of(), List.of()));
             }
@@ -145,6 +145,15 @@
             case ERRORS -> spell(i, on -> i.servers.forEach(s -> s.trouble(1, on ? size : -size, 0)));
             case PAUSES -> pauses(i);
             case REPLACE -> replace(i);
+            case DRAIN -> spell(i, on -> i.servers.stream().filter(s -> !s.gone).forEach(s -> {
+                if (on) {
+                    rig.discovery().draining(s.mirror);
+                } else {
+                    drain(s);
+                }
+            }));
+            case WRONG_CLOCK -> spell(i, i.drawn.from(), 0, on ->
+                    i.sidecars.forEach(s -> s.finds(s.stale(), (long) (1000 * size))));
             case BURST -> spell(i, on -> rig.traffic().burst *= on ? size : 1 / size);
             case SHIFT -> spell(i, on -> {
                 rig.traffic().shift[f.zone()] *= on ? size : 1 / size;
@@ -358,7 +367,10 @@
         List<ServerProcess> hosts = zone < 0 ? rig.processes() : zone(zone);
         lose(hosts, "silent", begins);
         if (begins) {
-            i.sidecars.forEach(s -> s.kill((long) (1e6 * i.drawn.size())));
+            for (SidecarMember s : i.sidecars) {
+                s.finds(i.drawn.fault().how().equals("stale"), s.clockOffsetMillis());
+                s.kill((long) (1e6 * i.drawn.size()));
+            }
         }
     }
 }
--- a/lab/src/main/java/sagefall/lab/rig/SidecarMember.java
+++ b/lab/src/main/java/sagefall/lab/rig/SidecarMember.java
@@ -33,6 +33,8 @@
     private static final int BODY = 300;
     /** Descriptors beyond the base that a sidecar at rest may hold, such as its watch. */
     private static final int FEW = 4;
+    /** What was kept longer ago is old. */
+    private static final long MAX_AGE = 60_000;
 
     private record Open(Application.Exchange exchange, int life) { }
 
@@ -48,6 +50,9 @@
     private final Map<String, Open> open = new HashMap<>();
     private final Map<Long, ObjectNode> held = new LinkedHashMap<>();
     private long revision;
+    private ObjectNode firstKnown;
+    private boolean stale;
+    private long clockOffsetMillis;
     private volatile SidecarProcess process;
     private volatile boolean ending;
     private int life;
@@ -112,22 +117,45 @@
         synchronized (held) {
             known = list(true, held.values());
         }
+        firstKnown = firstKnown == null ? known : firstKnown;
+        known = stale ? firstKnown : known;
         ending = false;
         SidecarProcess p = new SidecarProcess(SidecarProcess.run(root), root, folder, listen,
                 SidecarProcess.config("n" + index, at, rig.salt(index, ++life),
-                        History.JSON.convertValue(known, History.MAP), settings), null);
+                        History.JSON.convertValue(known, History.MAP), settings), extensions());
         rig.guard.watch(p.process());
         process = p;
         rig.history.line("process", "who", index, "what", "start", "pid", p.process().pid(), "build",
                 root.toString());
-        rig.history.line("told", "who", index, "known", true, "rev", revision, "all", true, "targets",
-                known.path("targets"));
+        rig.history.line("told", "who", index, "known", true, "stale", stale, "rev",
+                known.path("rev").asLong(), "all", true, "targets", known.path("targets"));
         p.process().onExit().thenAccept(e -> rig.history.line("process", "who", index, "what", "exit",
                 "status", e.exitValue(), "asked", ending));
         p.awaitReady();
         rig.history.line("process", "who", index, "what", "ready");
     }
 
+    private Map<String, Object> extensions() {
+        String keeps = rig.scenario.fleet().keeps();
+        return keeps.equals("off") ? null : Map.of("recovery", Map.of("directory",
+                folder.resolve("kept").toString(), "sync", keeps, "max_age_ms", MAX_AGE,
+                "clock_offset_ms", clockOffsetMillis));
+    }
+
+    /** From its next start on: what its configuration says of the servers, and its wall clock. */
+    void finds(boolean staleList, long offsetMillis) {
+        stale = staleList;
+        clockOffsetMillis = offsetMillis;
+    }
+
+    long clockOffsetMillis() {
+        return clockOffsetMillis;
+    }
+
+    boolean stale() {
+        return stale;
+    }
+
     /** Clients may come. */
     void ready() {
         up = true;
--- a/lab/src/main/java/sagefall/lab/scenario/Fault.java
+++ b/lab/src/main/java/sagefall/lab/scenario/Fault.java
@@ -108,8 +108,16 @@
         DELAY_LINKS("for_s part zone size", REAL),
         /** Connections between a part of the sidecars and a zone's servers break after so many bytes. */
         CUT_BYTES("for_s part zone size", REAL),
-        /** That part of the sidecars' whole machines loses power and is back after so many seconds. */
-        POWER_LOSS("zone size part", REAL);
+        /**
+         * That part of the sidecars' whole machines, and a zone's servers, lose power and are back after so
+         * many seconds. How: fresh, if a sidecar's configuration has the list of the moment, or stale, if it
+         * has that of its first start.
+         */
+        POWER_LOSS("zone size part how", REAL),
+        /** A part of the servers is said to drain and goes on taking what comes; then it ends. */
+        DRAIN("for_s part", REAL),
+        /** From its next start on a part of the sidecars takes the wall clock to be so many seconds ahead. */
+        WRONG_CLOCK("size part", REAL);
 
         private final List<String> names;
         private final Set<Side> sides;
@@ -146,6 +154,7 @@
         List<String> hows = switch (kind) {
             case CUT_ZONE, CUT_SIDECARS, FLAP_LINKS -> List.of("both", "in", "out");
             case REPLACE -> List.of("late", "early");
+            case POWER_LOSS -> List.of("fresh", "stale");
             default -> List.of("silent", "refuse");
         };
         Fault fault = new Fault(kind, from, seconds, zone(t, kind, fleet), tenant(t, kind, tenants),
@@ -164,6 +173,7 @@
             case CUT_BYTES -> new double[] {1, 1e9};
             case PAUSES -> new double[] {0, 60_000};
             case STUBBORN -> new double[] {0, 20};
+            case WRONG_CLOCK -> new double[] {-1e6, 1e6};
             default -> new double[] {0, 1000};
         };
     }
--- a/lab/src/test/java/sagefall/lab/rig/ChecksTest.java
+++ b/lab/src/test/java/sagefall/lab/rig/ChecksTest.java
@@ -100,6 +100,13 @@
         "sent to a stranger | A 101 send id r who 0 to Z; 140 answer id r who 0 status 504 | LISTED",
         "sent long after the drain | T 700 send id r who 0 to A; 710 answer id r who 0 status 504 | DRAIN",
         "sent soon after the drain | T 590 send id r who 0 to A; 610 answer id r who 0 status 504 |",
+        "drained before it was killed and found an old list | T 110 process who 0 what kill; "
+                + "120 told who 0 known true stale true all true targets "
+                + "A:1:in_service,B:2:in_service,C:3:in_service; "
+                + "700 send id r who 0 to A; 710 answer id r who 0 status 504 | DRAIN",
+        "drained before, and the newest list says otherwise | T 110 process who 0 what kill; "
+                + "120 told who 0 known true all true targets A:1:in_service; "
+                + "700 send id r who 0 to A; 710 answer id r who 0 status 504 |",
         "drained by its absence | 50 told who 0 all true targets B:2:in_service; "
                 + "A 700 send id r who 0 to A; 710 answer id r who 0 status 504 | DRAIN",
         "told while it stood still | 20 process who 0 what stop; T 600 process who 0 what cont; "
