Keep what discovery told over a crash or a power loss, and believe it by a stated order

Need: a sidecar that starts had only the list of its configuration, which may be old: after a power loss it sent to servers that it had been told to leave.

What is believed is decided in the module (Belief, a policy file): a newer list that was kept stands in for an old configuration; nothing that was to drain or gone comes back by an older list.

--- a/lab/src/main/java/sagefall/lab/policy/Mechanism.java
+++ b/lab/src/main/java/sagefall/lab/policy/Mechanism.java
@@ -22,8 +22,7 @@
     CONNECTION_COST("preferring servers with an open connection", "NEW_CONNECTION=1", "SETUP_COST=0"),
     FAIR_SHARE("refusing first what is beyond a tenant's share", "SHARE_SLACK=1e9"),
     SHORT_HOLD("answering held requests before half of their time", "HOLD=1"),
-    CELLS("cells of tenants", "CELL_PER_ZONE=1e9"),
-    CLASS_FAULTS("remembering which class a server fails", "FAULT_MEMORY=1e-6");
+    CELLS("cells of tenants", "CELL_PER_ZONE=1e9");
 
     private final String about;
     private final List<String> changes;
--- a/lab/src/test/java/sagefall/lab/rig/RigTest.java
+++ b/lab/src/test/java/sagefall/lab/rig/RigTest.java
@@ -58,6 +58,23 @@
         assertTrue(Files.readString(folder.resolve("report.html")).contains("sidecar 5"));
     }
 
+    /**
+     * All lose power, find old lists, and discovery is silent until later: what each kept keeps it from the
+     * servers that it had been told to leave, and tells the others.
+     */
+    @Test
+    void whatWasKeptOutlivesABlackout() throws Exception {
+        Play play = Play.of(plan("rig-blackout", 21), folder);
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        play.print(new PrintStream(printed, true));
+        assertFalse(play.broken(), printed::toString);
+        for (int i = 0; i < 6; i++) {
+            String log = Files.readString(folder.resolve("sidecar-" + i).resolve("log"));
+            assertTrue(log.contains("recovery: epoch 1, nothing was kept"), log);
+            assertTrue(log.contains("recovery: epoch 2, kept: revision") && log.contains("old, taken"), log);
+        }
+    }
+
     /** That a sidecar dies which nobody ended is seen. */
     @Test
     void aCrashIsSeen() throws Exception {
--- a/sidecar/src/main/java/sagefall/Admission.java
+++ b/sidecar/src/main/java/sagefall/Admission.java
@@ -2,10 +2,7 @@
 
 import java.util.Arrays;
 
-/**
- * Admission by chance, and what is beyond a tenant's share. A quiet sidecar sees no queue, only that answers
- * come late; refused early, and what is beyond a share first.
- */
+/** Admission by chance, since a quiet sidecar sees no queue, only late answers; beyond a share first. */
 final class Admission {
 
     /** Admission by chance: the part of the aim that cuts it, the cut, the gain in time, the least. */
--- a/sidecar/src/main/java/sagefall/Backend.java
+++ b/sidecar/src/main/java/sagefall/Backend.java
@@ -28,15 +28,10 @@
     long usedAt, connectAt, returnedAt;
     int connectFailures;
     boolean opened, maybeDead;
-    /** EWMA of what its answers to each class lack, and when that was last seen. */
-    final double[] classFault;
-    final long[] classSeenAt;
 
-    Backend(long id, int rank, int classes) {
+    Backend(long id, int rank) {
         this.id = id;
         order = LabelTree.mix(id, rank);
-        classFault = new double[classes];
-        classSeenAt = new long[classes];
     }
 
     /**
--- a/sidecar/src/main/java/sagefall/Choice.java
+++ b/sidecar/src/main/java/sagefall/Choice.java
@@ -9,10 +9,9 @@
 import sagefall.Pending.Attempt;
 
 /**
- * The balancer: a request's way from its arrival to its one answer. What it decides by stands in files of
- * their own: {@link LabelTree} and {@link Pick} where it goes, {@link Health} what is known of the servers,
- * {@link Admission}, {@link ZoneLimit} and {@link RetryBudget} how much is let in and sent again, {@link
- * Waiting} who waits, {@link Pending} what its effect allows. Its interface is LoadBalancer.java.
+ * The balancer: a request's way from its arrival to its one answer. {@link LabelTree} and {@link Pick} say
+ * where it goes, {@link Health} and {@link Belief} what is known of the servers, {@link Admission}, {@link
+ * ZoneLimit} and {@link RetryBudget} how much is let in and sent again, {@link Waiting} who waits.
  *
  * <p>Ordinary path: a request walks from the node {its zone, its tenant's cell} and takes the cheaper of two
  * ready servers by peak-EWMA latency x (1 + in-flight). Each exception says when it acts.
@@ -41,6 +40,7 @@
     /** Buffers of the requests in hand that stream, and the bound on them. */
     private long buffered, mostBuffered = Long.MAX_VALUE;
     private int askFailures;
+    private Belief belief = Belief.NONE;
 
     public Choice(Settings settings, Actions actions) {
         this.settings = settings;
@@ -57,6 +57,16 @@
 
     // ---- Lists
 
+    @Override
+    public void kept(long now, long revision, boolean fresh, List<Server> list) {
+        belief = Belief.of(revision, fresh, list);
+    }
+
+    @Override
+    public void servers(long now, ListKind kind, long revision, List<Server> list) {
+        servers(now, kind, belief.told(kind, revision, list));
+    }
+
     @Override
     public void servers(long now, ListKind kind, List<Server> list) {
         if (settings.discoveryOnAsk() && kind == ListKind.CACHED) {
@@ -105,8 +115,9 @@
             health.close(old);
             old.usable = false;
         }
-        backends.put(id, new Backend(id, settings.rank(), settings.classes().size()));
-        return backends.get(id);
+        Backend fresh = new Backend(id, settings.rank());
+        backends.put(id, fresh);
+        return fresh;
     }
 
     // ---- Requests
@@ -119,7 +130,7 @@
         p.luck = random.nextLong();
         admission.countShare(p);
         p.cell = tree.cell(p, random);
-        budget.taken();
+        budget.taken(admission.admitted);
         admission.taken(now);
         health.watch(now);
         if (requests.size() > settings.limits().open()) end(now, waiting.least(p), Reason.IN_HAND);
@@ -146,16 +157,12 @@
             end(now, p, Reason.ZONE_FULL);
             return;
         }
-        waitOn(now, p);
+        later(waiting.lookAgain(now, p, requests.size()), HELD, p);
         if (now - sheddingLoggedAt < 10 * aimMicros) return;
         sheddingLoggedAt = now;
         actions.log("holding: " + waiting.held().size() + " requests wait, no server has room");
     }
 
-    private void waitOn(long now, Pending p) {
-        later(waiting.lookAgain(now, p, requests.size()), HELD, p);
-    }
-
     private long lastUseful(Pending p) {
         return waiting.lastUseful(p, requests.size());
     }
@@ -316,7 +323,7 @@
         if (p.queued && (now >= lastUseful(p) || health.anyZoneFull())) {
             end(now, p, now >= lastUseful(p) ? Reason.WAITED : Reason.ZONE_FULL);
         } else if (p.queued) {
-            waitOn(now, p);
+            later(waiting.lookAgain(now, p, requests.size()), HELD, p);
             pump(now);
         }
     }
--- a/sidecar/src/main/java/sagefall/Health.java
+++ b/sidecar/src/main/java/sagefall/Health.java
@@ -10,12 +10,12 @@
 import sagefall.LoadBalancer.Settings;
 import sagefall.Pending.Attempt;
 
-/** What answers, failures and silence tell of servers, zones and classes; who is left alone for a while. */
+/** What answers, failures and silence tell of servers and zones; who is left alone for a while. */
 final class Health {
 
-    /** Time constants in aims: of latency; of a class fault and the distrust of idle connections. */
-    private static final double DECAY = 4, FAULT_MEMORY = 30;
-    /** Weight of one answer in what is usual for its class; in what is known of a kind, zone or class. */
+    /** Time constants in aims: of latency; of set-ups and the distrust of idle connections. */
+    private static final double DECAY = 4, MEMORY = 30;
+    /** Weight of one answer in what is usual for its class; in what is known of a kind or zone. */
     private static final double USUAL_WEIGHT = 0.03, POOL_WEIGHT = 0.1;
     /** What is usual before the first answer, in aims; weight of one set-up. */
     private static final double FIRST_GUESS = 0.3, SETUP_WEIGHT = 0.3;
@@ -37,7 +37,7 @@
     private final Admission admission;
     /** The mean over the classes of what an answer should take at most. */
     final double aimMicros;
-    private final double[] usualMicros, classFaults;
+    private final double[] usualMicros;
     private double[] kindPace = {}, zonePace = {};
     private final ZoneLimit[] zoneLimits;
     private final Set<Attempt> outstanding = new LinkedHashSet<>();
@@ -58,7 +58,6 @@
         this.admission = admission;
         aimMicros = settings.aimMicros();
         usualMicros = settings.classes().stream().mapToDouble(c -> c.timeMicros() * FIRST_GUESS).toArray();
-        classFaults = new double[usualMicros.length];
         zoneLimits = Stream.generate(ZoneLimit::new).limit(Math.max(1, settings.zones().size()))
                 .toArray(ZoneLimit[]::new);
     }
@@ -75,13 +74,6 @@
         return usualMicros[p.requestClass];
     }
 
-    /** Part of a class that the server leaves unanswered; without own samples, what is so everywhere. */
-    double fault(long now, Backend b, int c) {
-        if (b.classSeenAt[c] == 0) return classFaults[c];
-        double keep = Math.exp(-(now - b.classSeenAt[c]) / (FAULT_MEMORY * aimMicros));
-        return classFaults[c] + (b.classFault[c] - classFaults[c]) * keep;
-    }
-
     double use(long now, Backend b) {
         if (Double.isNaN(b.use)) return meanUse;
         return meanUse + (b.use - meanUse) * Math.exp(-(now - b.reportedAt) / (DECAY * aimMicros));
@@ -93,7 +85,7 @@
     }
 
     double setup(long now) {
-        return setupMicros * Math.exp(-(now - setupAt) / (FAULT_MEMORY * aimMicros));
+        return setupMicros * Math.exp(-(now - setupAt) / (MEMORY * aimMicros));
     }
 
     private void setUp(long now, double micros) {
@@ -102,7 +94,7 @@
     }
 
     long trust(long now) {
-        return now - distrustedAt < FAULT_MEMORY * aimMicros ? idleTrust : Long.MAX_VALUE;
+        return now - distrustedAt < MEMORY * aimMicros ? idleTrust : Long.MAX_VALUE;
     }
 
     /** Peak EWMA, and at least the age of the oldest attempt: a hanging server never gives a sample. */
@@ -159,7 +151,6 @@
 
     void learn(long now, Attempt a, Outcome o) {
         Backend b = a.server;
-        int c = a.of.requestClass;
         switch (o.result()) {
             case SERVED -> {
                 report(now, b, o.report());
@@ -169,7 +160,6 @@
                 // Full is busy, not sick: shrink the limit and stay away for one usual answer.
                 b.usedAt = now;
                 b.opened = true;
-                faulty(now, b, c);
                 admission.crowded();
                 zoneLimit(b).crowded();
                 b.limit = Math.max(1, b.limit * LIMIT_CUT);
@@ -195,7 +185,6 @@
                 // What a connection that was idle did not bring may be its own fault; an error is a word.
                 boolean word = o.result() == Result.ERROR;
                 if (!word && (a.idle > aimMicros / 4 || a.suspected && b.usedAt > b.suspectedAt)) return;
-                if (word) faulty(now, b, c);
                 sample(now, b, Math.max(o.elapsedMicros(), aimMicros) / a.usual);
                 if (b.openUntil != 0 || ++b.failures >= FAILURES) eject(now, b, o.result().toString());
             }
@@ -232,7 +221,7 @@
         }
     }
 
-    /** An answer clears the server, its connection and the class. */
+    /** An answer clears the server and its connection. */
     private void answered(long now, Attempt a, long elapsed) {
         Backend b = a.server;
         int c = a.of.requestClass;
@@ -244,9 +233,6 @@
         if (b.maybeDead) b.returnedAt = now;
         b.maybeDead = false;
         b.failures = 0;
-        b.classFault[c] = fault(now, b, c) / 2;
-        b.classSeenAt[c] = now;
-        classFaults[c] -= POOL_WEIGHT * classFaults[c];
         // It was slow after all: neither its connection nor the others' had died.
         if (a.suspected && a.idle > 0) idleTrust = Long.MAX_VALUE;
         if (b.openUntil != 0) {
@@ -267,7 +253,7 @@
 
     /**
      * Silence. After an idle spell it is the connection that died: such spells are not trusted for a while,
-     * elsewhere either. While the server answers others it is the class. Else it is the server.
+     * elsewhere either. Unless the server has answered others since, it is the server.
      */
     private void suspect(long now, Attempt a, boolean out) {
         Backend b = a.server;
@@ -276,7 +262,6 @@
             b.suspects++;
             b.suspectedAt = now;
         }
-        faulty(now, b, a.of.requestClass);
         if (b.usedAt <= a.since && a.idle > aimMicros / 4 && b.pace < SLOW_PACE) {
             idleTrust = Math.min(trust(now), a.idle) / 2;
             distrustedAt = now;
@@ -287,13 +272,6 @@
         if (b.usedAt <= a.since) eject(now, b, "no answer for " + (now - a.since) / 1000 + " ms");
     }
 
-    /** A class that is turned away or fails while others are served must not look fast or idle. */
-    private void faulty(long now, Backend b, int c) {
-        b.classFault[c] = (1 + fault(now, b, c)) / 2;
-        b.classSeenAt[c] = now;
-        classFaults[c] += POOL_WEIGHT * (1 - classFaults[c]);
-    }
-
     private static double[] pool(double[] paces, int of, double x) {
         if (of < 0) return paces;
         double[] all = of < paces.length ? paces : Arrays.copyOf(paces, of + 1);
--- a/sidecar/src/main/java/sagefall/LoadBalancer.java
+++ b/sidecar/src/main/java/sagefall/LoadBalancer.java
@@ -45,7 +45,7 @@
         }
 
         /** What an answer should take at most, in microseconds: the aim, else the deadline. */
-        long timeMicros() {
+        public long timeMicros() {
             return Math.max(1, aimMicros > 0 ? aimMicros : deadlineMicros);
         }
     }
@@ -79,14 +79,14 @@
         }
 
         /** The mean over the classes of what an answer should take at most, in microseconds. */
-        double aimMicros() {
+        public double aimMicros() {
             double sum = 0;
             for (RequestClass c : classes) sum += c.timeMicros();
             return sum / classes.size();
         }
 
         /** Whether a class may simply be repeated. */
-        boolean anySafe() {
+        public boolean anySafe() {
             return classes.stream().anyMatch(c -> c.effect() == Effect.SAFE);
         }
     }
@@ -155,6 +155,19 @@
 
     void servers(long nowMicros, ListKind kind, List<Server> list);
 
+    /** The same with its revision: a list of a lower one than what was kept is behind it. */
+    default void servers(long nowMicros, ListKind kind, long revision, List<Server> list) {
+        servers(nowMicros, kind, list);
+    }
+
+    /**
+     * What an earlier life of this instance had been told last, before any list; those that were gone are
+     * among it.
+     *
+     * @param fresh whether it is young enough to tell how things are, and not only what to stay away from
+     */
+    default void kept(long nowMicros, long revision, boolean fresh, List<Server> list) { }
+
     void request(long nowMicros, Request request);
 
     /** Bound on the buffers of all requests that stream, from now on; at first there is none. */
--- a/sidecar/src/main/java/sagefall/Pick.java
+++ b/sidecar/src/main/java/sagefall/Pick.java
@@ -86,8 +86,7 @@
     }
 
     private double cost(long now, Pending p, Backend b) {
-        double works = 1 - health.fault(now, b, p.requestClass);
-        double cost = health.slowness(now, b) * (1 + b.out.size()) / (works * works + 0.01);
+        double cost = health.slowness(now, b) * (1 + b.out.size());
         if (!Double.isNaN(health.meanUse)) cost /= 1.1 - Math.min(1, health.use(now, b));
         if (tree.sparse && !health.warm(now, b)) {
             cost *= NEW_CONNECTION + SETUP_COST * health.setup(now) / health.aimMicros;
--- a/sidecar/src/main/java/sagefall/RetryBudget.java
+++ b/sidecar/src/main/java/sagefall/RetryBudget.java
@@ -1,6 +1,6 @@
 package sagefall;
 
-/** The retry budget: further attempts as a part of first tries, so that failures can't multiply the load. */
+/** Further attempts as a part of first tries, so that failures can't multiply the load. */
 final class RetryBudget {
 
     /** Further attempts that a first try earns; how many are saved. */
@@ -8,9 +8,9 @@
 
     private double tokens = RETRY_SAVED / 2;
 
-    /** A request has come. */
-    void taken() {
-        tokens = Math.min(RETRY_SAVED, tokens + RETRY_SHARE);
+    /** A request has come; where little is let in, what fails is late, not sick: little is sent again. */
+    void taken(double admitted) {
+        tokens = Math.min(RETRY_SAVED * admitted, tokens + RETRY_SHARE * admitted);
     }
 
     boolean allows() {
--- a/sidecar/src/main/java/sagefall/Section.java
+++ b/sidecar/src/main/java/sagefall/Section.java
@@ -32,6 +32,18 @@
         throw wrong(name, "must be a whole number from " + least + " to " + most);
     }
 
+    /** A text, or another where it is not given. */
+    public String text(String name, String otherwise) {
+        read.add(name);
+        if (!values.containsKey(name)) {
+            return otherwise;
+        }
+        if (values.get(name) instanceof String s) {
+            return s;
+        }
+        throw wrong(name, "must be a text");
+    }
+
     /** The names of an object's entries, in the order of the file. */
     public Set<String> names() {
         Set<String> names = new LinkedHashSet<>();
--- a/sidecar/src/main/java/sagefall/ZoneLimit.java
+++ b/sidecar/src/main/java/sagefall/ZoneLimit.java
@@ -1,15 +1,11 @@
 package sagefall;
 
 /**
- * Admission control: a limit on this instance's requests in flight in one zone, moved by the answers of all
- * of its servers together. Where a fleet is large, no instance sees enough of one server to find that
- * server's limit, and the limits of many servers together hold nothing back: queues then grow past every aim,
- * and the servers spend themselves on answers that nobody waits for. Pooled over a zone the evidence is
- * plenty.
- *
- * <p>Requests in flight are limited rather than a rate: they rise at once when answers slow down. Both steps
- * are parts of the limit, so instances of unlike traffic give way alike. Harm: in a zone that is busy all
- * over, some are refused whom a lucky pick would have served.
+ * A limit on this instance's requests in flight in one zone, moved by the answers of all of its servers
+ * together: where a fleet is large, no instance sees enough of one server to find that server's limit. In
+ * flight rather than by rate, as that rises at once when answers slow down. Both steps are parts of the
+ * limit, so instances of unlike traffic give way alike. Harm: in a zone that is busy all over, some are
+ * refused whom a lucky pick would have served.
  */
 final class ZoneLimit {
 
--- /dev/null
+++ b/sidecar/src/main/java/sagefall/recovery/Journal.java
@@ -0,0 +1,295 @@
+package sagefall.recovery;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.zip.CRC32C;
+
+/**
+ * Snapshot and write-ahead log of what is kept. A snapshot is written aside, forced, renamed, and the folder
+ * forced; the log that belongs to it bears its generation in its name, so that neither can be read with
+ * another's. Each record has its length, its CRC32C, and how far the log had been forced when it was written:
+ * a bad record that a later one says was forced is damage, any other is a tail that a power loss tore. A tail
+ * is cut; damage, a newer format, another's files and ones over the bound are put aside and nothing is kept.
+ *
+ * <p>Each start writes a snapshot with the next epoch, so that nothing is ever appended to an old log.
+ */
+final class Journal implements Closeable {
+
+    static final String STATE = "state", LOG = "log-", ASIDE = "aside-";
+    private static final String NEXT = "state.next";
+    /** Eight bytes before the records of each file; the last one is the version of the format. */
+    private static final byte[] MAGIC = {'S', 'F', 'K', 'E', 'P', 'T', 0, 1};
+    /** Before each record's body: its length, its CRC32C, the length of the log that was forced before. */
+    private static final int HEAD = 16;
+    private static final long MOST_SUMMED = 64 * 1024 * 1024;
+
+    private final Disk disk;
+    private final long maxBytes;
+    private final boolean forceEach;
+    private Kept state;
+    private long generation;
+    private Disk.Out log;
+    private long written;
+    private long forced;
+    /** What the files hold is not known to be whole: only a snapshot may follow. */
+    private boolean broken;
+
+    private Journal(Disk disk, long maxBytes, boolean forceEach) {
+        this.disk = disk;
+        this.maxBytes = maxBytes;
+        this.forceEach = forceEach;
+    }
+
+    /** What is put aside and why is told in one line; the epoch is on the disk once this returns. */
+    static Journal open(Disk disk, String name, long maxBytes, boolean forceEach, Consumer<String> say)
+            throws IOException {
+        Journal journal = new Journal(disk, maxBytes, forceEach);
+        Kept kept = Kept.nothing(name);
+        Reading reading = new Reading(disk, maxBytes);
+        try {
+            kept = reading.read(name);
+            if (reading.cut > 0) {
+                say.accept("the last " + reading.cut + " bytes were not whole and are left out");
+            }
+        } catch (Unreadable e) {
+            journal.putAside();
+            say.accept("put aside, nothing is kept: " + e.getMessage());
+            kept = new Kept(name, e.theirs ? 0 : reading.epoch, 0, 0, Map.of());
+        }
+        journal.generation = reading.newest;
+        journal.state = kept.started();
+        journal.snapshot();
+        return journal;
+    }
+
+    Kept state() {
+        return state;
+    }
+
+    /** Returns once the change is kept, or at least written. */
+    void append(Kept.Change change) throws IOException {
+        state = state.with(change);
+        byte[] body = Kept.bytes(change);
+        if (broken || log != null && written + HEAD + body.length > maxBytes / 2) {
+            snapshot();
+            return;
+        }
+        broken = true;
+        if (log == null) {
+            log = disk.create(LOG + generation);
+            log.write(MAGIC);
+            log.force();
+            disk.forceNames();
+            written = MAGIC.length;
+            forced = written;
+        }
+        log.write(record(body, forced));
+        written += HEAD + body.length;
+        if (forceEach) {
+            log.force();
+            forced = written;
+        }
+        broken = false;
+    }
+
+    /** Writes all that is kept anew. */
+    void snapshot() throws IOException {
+        byte[] record = record(state.bytes(generation + 1), 0);
+        if (MAGIC.length + record.length > maxBytes) {
+            throw new IOException("what is to be kept, " + record.length + " bytes, is over the bound");
+        }
+        broken = true;
+        closeLog();
+        try (Disk.Out out = disk.create(NEXT)) {
+            out.write(MAGIC);
+            out.write(record);
+            out.force();
+        }
+        disk.rename(NEXT, STATE);
+        disk.forceNames();
+        generation++;
+        written = 0;
+        forced = 0;
+        broken = false;
+        for (String old : disk.names()) {
+            if (old.startsWith(LOG) && !old.equals(LOG + generation)) {
+                disk.delete(old);
+            }
+        }
+    }
+
+    private void closeLog() throws IOException {
+        Disk.Out old = log;
+        log = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    /** The last ones that were put aside are kept for whoever looks into it. */
+    private void putAside() throws IOException {
+        for (String name : disk.names()) {
+            if (name.equals(STATE) || name.startsWith(LOG)) {
+                disk.rename(name, ASIDE + (name.equals(STATE) ? STATE : "log"));
+            }
+        }
+        disk.forceNames();
+    }
+
+    private static byte[] record(byte[] body, long forcedBefore) {
+        ByteBuffer record = ByteBuffer.allocate(HEAD + body.length);
+        record.putInt(body.length).putInt(0).putLong(forcedBefore).put(body);
+        return record.putInt(4, sum(record.array(), 8, 8 + body.length)).array();
+    }
+
+    private static int sum(byte[] bytes, int from, int length) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes, from, length);
+        return (int) sum.getValue();
+    }
+
+    @Override
+    public void close() throws IOException {
+        closeLog();
+        disk.close();
+    }
+
+    /** What can't be taken, and whether it is another sidecar's. */
+    private static final class Unreadable extends Exception {
+        private static final long serialVersionUID = 1;
+        final boolean theirs;
+
+        Unreadable(String why, boolean theirs) {
+            super(why);
+            this.theirs = theirs;
+        }
+    }
+
+    /** One reading of the folder. */
+    private static final class Reading {
+        private final Disk disk;
+        private final long most;
+        private long newest;
+        private long epoch;
+        private long cut;
+
+        Reading(Disk disk, long most) {
+            this.disk = disk;
+            this.most = most;
+        }
+
+        Kept read(String name) throws IOException, Unreadable {
+            for (String each : disk.names()) {
+                if (each.matches(LOG + "[0-9]{1,18}")) {
+                    newest = Math.max(newest, Long.parseLong(each.substring(LOG.length())));
+                }
+            }
+            byte[] bytes = bytes(STATE);
+            if (bytes == null) {
+                return Kept.nothing(name);
+            }
+            head(STATE, bytes);
+            byte[] body = body(bytes, MAGIC.length);
+            if (body == null || MAGIC.length + HEAD + body.length != bytes.length) {
+                throw new Unreadable(STATE + " is damaged", false);
+            }
+            Kept kept;
+            long mine;
+            try {
+                Map<String, Object> values = Kept.values(body);
+                kept = Kept.kept(values);
+                mine = Kept.number(values, "generation");
+            } catch (IOException e) {
+                throw new Unreadable(STATE + ": " + e.getMessage(), false);
+            }
+            if (!kept.name().equals(name)) {
+                throw new Unreadable(STATE + " belongs to the sidecar '" + kept.name() + "'", true);
+            }
+            newest = Math.max(newest, mine);
+            epoch = kept.epoch();
+            return log(kept, LOG + mine);
+        }
+
+        private byte[] bytes(String name) throws Unreadable {
+            try {
+                return disk.read(name, most);
+            } catch (IOException e) {
+                throw new Unreadable(e.getMessage(), false);
+            }
+        }
+
+        private static void head(String name, byte[] bytes) throws Unreadable {
+            int last = MAGIC.length - 1;
+            if (bytes.length < MAGIC.length || !Arrays.equals(bytes, 0, last, MAGIC, 0, last)) {
+                throw new Unreadable(name + " is damaged", false);
+            }
+            if (bytes[last] != MAGIC[last]) {
+                throw new Unreadable(name + " has format " + bytes[last] + ", this program knows "
+                        + MAGIC[last], false);
+            }
+        }
+
+        private Kept log(Kept kept, String name) throws Unreadable {
+            byte[] bytes = bytes(name);
+            if (bytes == null) {
+                return kept;
+            }
+            if (bytes.length <= MAGIC.length) {
+                // No record yet, so these bytes may not have been forced either.
+                cut = bytes.length < MAGIC.length ? bytes.length : 0;
+                return kept;
+            }
+            head(name, bytes);
+            Kept now = kept;
+            int at = MAGIC.length;
+            for (byte[] body; at < bytes.length && (body = body(bytes, at)) != null;
+                    at += HEAD + body.length) {
+                try {
+                    now = now.with(Kept.change(Kept.values(body)));
+                } catch (IOException e) {
+                    throw new Unreadable(name + ": " + e.getMessage(), false);
+                }
+            }
+            if (at < bytes.length && forcedLater(bytes, at)) {
+                throw new Unreadable(name + " is damaged at byte " + at, false);
+            }
+            cut = bytes.length - at;
+            return now;
+        }
+
+        /** The body of the record that begins there; null where none that is whole does. */
+        private static byte[] body(byte[] bytes, int at) {
+            if (bytes.length - at < HEAD) {
+                return null;
+            }
+            ByteBuffer head = ByteBuffer.wrap(bytes, at, HEAD);
+            int length = head.getInt();
+            int sum = head.getInt();
+            return length < 0 || length > bytes.length - at - HEAD || sum(bytes, at + 8, 8 + length) != sum
+                    ? null : Arrays.copyOfRange(bytes, at + HEAD, at + HEAD + length);
+        }
+
+        /**
+         * Whether any whole record after the bad one says that it had been forced. Bytes made to look like
+         * many records would take for ever: past a bound they count as damage.
+         */
+        private static boolean forcedLater(byte[] bytes, int bad) {
+            long left = MOST_SUMMED;
+            for (int at = bad + 1; at <= bytes.length - HEAD && left > 0; at++) {
+                ByteBuffer head = ByteBuffer.wrap(bytes, at, HEAD);
+                int length = head.getInt();
+                if (length > 0 && length <= bytes.length - at - HEAD && head.getLong(at + 8) > bad) {
+                    left -= length;
+                    if (body(bytes, at) != null) {
+                        return true;
+                    }
+                }
+            }
+            return left <= 0;
+        }
+    }
+}
--- a/sidecar/src/main/java/sagefall/sidecar/Discovery.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Discovery.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** The next answer is to be the whole list. */
+    void whole() {
+        whole = true;
+    }
+
     /** Goes on at another address. What the old one still tells no longer counts. */
     void move(InetSocketAddress to) {
         if (closed || to.equals(address)) {
--- a/sidecar/src/main/java/sagefall/sidecar/Extensions.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Extensions.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import sagefall.LoadBalancer.RequestClass;
 import sagefall.Section;
+import sagefall.recovery.Recovery;
 import sagefall.streaming.Streaming;
 
 /**
@@ -14,9 +15,9 @@
  * operators' own and stands beside the platform's configuration, so that none of its names can meet one of
  * the platform's.
  */
-record Extensions(Streaming streaming) {
+record Extensions(Streaming streaming, Recovery recovery) {
 
-    static final Extensions NONE = new Extensions(Streaming.OFF);
+    static final Extensions NONE = new Extensions(Streaming.OFF, Recovery.OFF);
 
     /** Reads the file, if one is named; the exception's message is one plain line. */
     static Extensions read(Map<String, String> environment, List<RequestClass> classes) throws IOException {
@@ -31,8 +32,10 @@
             Section all = new Section("extensions", sections);
             Streaming streaming = sections.containsKey("streaming")
                     ? Streaming.read(all.section("streaming"), classes) : Streaming.OFF;
+            Recovery recovery = sections.containsKey("recovery")
+                    ? Recovery.read(all.section("recovery")) : Recovery.OFF;
             all.end();
-            return new Extensions(streaming);
+            return new Extensions(streaming, recovery);
         });
     }
 }
--- a/sidecar/src/main/java/sagefall/sidecar/ServerList.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ServerList.java
@@ -5,11 +5,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import sagefall.Json;
 import sagefall.LoadBalancer.Phase;
 import sagefall.LoadBalancer.Server;
+import sagefall.recovery.Kept;
 
 /** Servers in discovery's form: the whole list, or what has changed. */
 record ServerList(long revision, boolean complete, List<Entry> entries) {
@@ -20,6 +22,22 @@
         return entries.stream().map(Entry::server).toList();
     }
 
+    /** In a few words, for a log. */
+    String told() {
+        long out = entries.stream().filter(e -> e.server().phase() != Phase.READY).count();
+        return "revision " + revision + " with " + (entries.size() - out) + " servers in service and " + out
+                + " not";
+    }
+
+    /** All servers of both, of each the younger process, as this list has it where both have the same. */
+    ServerList with(ServerList other) {
+        Map<Long, Entry> all = new LinkedHashMap<>();
+        other.entries.forEach(e -> all.put(e.server().id(), e));
+        entries.forEach(e -> all.merge(e.server().id(), e, (theirs, mine) ->
+                theirs.server().startMicros() > mine.server().startMicros() ? theirs : mine));
+        return new ServerList(Math.max(revision, other.revision), true, List.copyOf(all.values()));
+    }
+
     /** Reads lists; zones and models are numbered as in the settings. */
     record Reader(List<String> zones, List<String> models) {
 
@@ -44,6 +62,32 @@
             return new ServerList(revision, complete, entries);
         }
 
+        /** What is to be kept of a list. */
+        Kept.Change change(ServerList list, long atMillis) {
+            Map<Long, Kept.Line> lines = new LinkedHashMap<>();
+            for (Entry e : list.entries) {
+                Server s = e.server();
+                lines.put(s.id(), new Kept.Line(s.id(), Addresses.text(e.address()), name(zones, s.zone()),
+                        name(models, s.kind()), s.cell(), s.phase(), s.startMicros(), s.weight(), 0));
+            }
+            return new Kept.Change(list.complete, list.revision, atMillis, lines);
+        }
+
+        private static String name(List<String> names, int number) {
+            return number < 0 ? "" : names.get(number);
+        }
+
+        /** The list as it was kept, those that are gone among it. */
+        ServerList kept(Kept kept) {
+            List<Entry> entries = new ArrayList<>();
+            for (Kept.Line line : kept.lines().values()) {
+                entries.add(new Entry(new Server(line.id(), zones.indexOf(line.zone()),
+                        models.indexOf(line.kind()), line.cell(), line.phase(), line.startMicros(),
+                        line.weight()), Addresses.parse(line.address())));
+            }
+            return new ServerList(kept.revision(), true, entries);
+        }
+
         private Entry entry(Object target) throws IOException {
             if (!(target instanceof Map<?, ?> m) || !(m.get("uid") instanceof String uid)
                     || !(m.get("endpoint") instanceof String endpoint)) {
--- a/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
@@ -41,6 +41,9 @@
 import sagefall.LoadBalancer.RequestClass;
 import sagefall.LoadBalancer.Result;
 import sagefall.LoadBalancer.Settings;
+import sagefall.recovery.Keeper;
+import sagefall.recovery.Kept;
+import sagefall.recovery.Recovery;
 import sagefall.sidecar.Call.Attempt;
 import sagefall.streaming.Flow;
 import sagefall.streaming.Streaming;
@@ -60,6 +63,8 @@
     /** Requests of the rehearsal, and its longest time. */
     private static final int REHEARSED = 250;
     private static final long REHEARSAL_MILLIS = 1_500;
+    /** After the rehearsal, beside which the folder was read: a disk that is stalled keeps nobody longer. */
+    private static final long OPENED_MILLIS = 250;
 
     private final EventLoop loop;
     private final PrintStream log;
@@ -75,6 +80,8 @@
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<Call.Client, Call> waiting = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private Keeper keeper;
+    private Kept kept;
     private boolean inModule;
     private boolean stopping;
 
@@ -133,11 +140,18 @@
             Thread end = new Thread(() -> {
                 loop.execute(() -> sidecar.stop(ended::countDown));
                 awaitQuietly(ended);
+                sidecar.keptAll();
                 // The runtime would report the signal as its exit status.
                 Runtime.getRuntime().halt(0);
             });
             Runtime.getRuntime().addShutdownHook(end);
+            Recovery recovery = config.extensions().recovery();
+            Keeper keeper = recovery.isOn() ? new Keeper(recovery, config.name(), sidecar::log) : null;
             Rehearsal.run(config, REHEARSED, REHEARSAL_MILLIS);
+            if (keeper != null) {
+                Kept kept = keeper.opened(OPENED_MILLIS);
+                loop.submit(() -> sidecar.keep(keeper, kept)).sync();
+            }
             try {
                 sidecar.start().get();
             } catch (ExecutionException e) {
@@ -174,6 +188,13 @@
         }
     }
 
+    /** Writes what is still to be kept; any thread. */
+    private void keptAll() {
+        if (keeper != null) {
+            keeper.close();
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
@@ -182,9 +203,43 @@
         }
     }
 
-    /** Hands the module its first list. */
+    /** Hands the module what was kept, if anything was, and its first list. */
     void open() {
-        listed(ListKind.CACHED, config.known());
+        ServerList known = config.known();
+        if (kept != null && kept.revision() > 0) {
+            ServerList last = config.lists().kept(kept);
+            boolean fresh = keeper.fresh(kept);
+            log("recovery: epoch " + kept.epoch() + ", kept: " + last.told() + ", "
+                    + (keeper.wallMillis() - kept.atMillis()) / 1000 + " s old, "
+                    + (fresh && last.revision() > known.revision() ? "taken" : "restricts only")
+                    + "; known: " + known.told());
+            pool.update(last.with(known));
+            tell(null, now -> module.kept(now, last.revision(), fresh, last.servers()));
+            tell(null, now -> module.servers(now, ListKind.CACHED, known.revision(), known.servers()));
+            // It may be behind what was kept, so its changes alone would not do.
+            discovery.whole();
+            if (known.revision() >= last.revision()) {
+                keepList(known);
+            }
+        } else {
+            if (kept != null) {
+                log("recovery: epoch " + kept.epoch() + ", nothing was kept; known: " + known.told());
+            }
+            listed(ListKind.CACHED, known);
+            keepList(known);
+        }
+    }
+
+    private void keepList(ServerList list) {
+        if (keeper != null) {
+            keeper.told(config.lists().change(list, keeper.wallMillis()));
+        }
+    }
+
+    /** What an earlier life kept, and who keeps what this one is told; before the first list. */
+    void keep(Keeper with, Kept before) {
+        keeper = with;
+        kept = before;
     }
 
     /** Hands the module its first list and opens the door; gives the address once clients can connect. */
@@ -258,12 +313,13 @@
 
     private void listed(ListKind kind, ServerList list) {
         pool.update(list);
-        tell(null, now -> module.servers(now, kind, list.servers()));
+        tell(null, now -> module.servers(now, kind, list.revision(), list.servers()));
     }
 
     @Override
     public void listed(ServerList list) {
         listed(list.complete() ? ListKind.COMPLETE : ListKind.CHANGES, list);
+        keepList(list);
     }
 
     @Override
