Notice a folder that goes while its files are open; second loss and blackout to play

A file that is open takes writes although its folder is gone: they were lost without a word. The log's name is looked up before each change; once it is missing all is written anew, which fails with one line until the folder is back. A test moves the folder away in mid-run and brings it back.

--- a/lab/src/main/java/sagefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/sagefall/lab/scenario/Scenario.java
@@ -32,14 +32,14 @@
     public static final List<String> RIG = List.of("rig-calm", "rig-kill", "rig-restart", "rig-zone",
             "rig-one-way", "rig-slow-servers", "rig-slow-sidecars", "rig-discovery", "rig-disagree",
                     "rig-flap",
-            "rig-stop", "rig-reborn", "rig-blackout");
+            "rig-stop", "rig-reborn", "rig-blackout", "rig-second-loss");
 
     /** A scenario's text, and what messages call it. */
     public record Source(String file, String text) { }
 
     /** Scenarios that come with the laboratory. */
     public static final List<String> SHIPPED = List.of("calm", "roll", "herd", "zone", "split", "join",
-            "overload", "slow", "flap");
+            "overload", "slow", "flap", "blackout");
 
     private static final double DAY = 3600;
 
--- a/sidecar/src/main/java/sagefall/recovery/Disk.java
+++ b/sidecar/src/main/java/sagefall/recovery/Disk.java
@@ -21,6 +21,9 @@
     /** The names in the folder. */
     List<String> names() throws IOException;
 
+    /** Whether the folder still has a file of that name, which writing to an open one does not show. */
+    boolean has(String name);
+
     /** A file's bytes; null where there is none. One that is longer than the bound is an error. */
     byte[] read(String name, long most) throws IOException;
 
--- a/sidecar/src/main/java/sagefall/recovery/FolderDisk.java
+++ b/sidecar/src/main/java/sagefall/recovery/FolderDisk.java
@@ -45,6 +45,11 @@
         }
     }
 
+    @Override
+    public boolean has(String name) {
+        return Files.exists(folder.resolve(name));
+    }
+
     @Override
     public byte[] read(String name, long most) throws IOException {
         try (FileChannel in = FileChannel.open(folder.resolve(name), StandardOpenOption.READ)) {
--- a/sidecar/src/main/java/sagefall/recovery/Journal.java
+++ b/sidecar/src/main/java/sagefall/recovery/Journal.java
@@ -74,7 +74,8 @@
     void append(Kept.Change change) throws IOException {
         state = state.with(change);
         byte[] body = Kept.bytes(change);
-        if (broken || log != null && written + HEAD + body.length > maxBytes / 2) {
+        boolean lost = log != null && !disk.has(LOG + generation);
+        if (broken || lost || log != null && written + HEAD + body.length > maxBytes / 2) {
             snapshot();
             return;
         }
--- a/sidecar/src/test/java/sagefall/recovery/JournalTest.java
+++ b/sidecar/src/test/java/sagefall/recovery/JournalTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -263,6 +264,27 @@
         assertEquals(6, again(disk).revision());
     }
 
+    /** The folder goes while files of it are open: said once, and taken up again when it is back. */
+    @Test
+    void aFolderThatGoesIsToldAndTakenUpAgain(@TempDir Path parent) throws Exception {
+        Path folder = parent.resolve("kept");
+        BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+        try (Keeper keeper = new Keeper(section(folder), "n1", lines::add)) {
+            assertEquals(1, keeper.opened(60_000).epoch());
+            keeper.told(change(true, 5));
+            while (!Files.exists(folder.resolve("log-1"))) {
+                Thread.onSpinWait();
+            }
+            Files.move(folder, parent.resolve("away"));
+            keeper.told(change(false, 6, 3));
+            assertTrue(lines.poll(60, TimeUnit.SECONDS).contains("can't keep what discovery tells"));
+            Files.createDirectory(folder);
+            assertTrue(lines.poll(60, TimeUnit.SECONDS).contains("keeping again"));
+        }
+        Kept read = Journal.open(new FolderDisk(folder), "n1", BOUND, true, said::add).state();
+        assertEquals(6, read.revision());
+    }
+
     @Test
     void aSecondProcessGoesOnWithout(@TempDir Path folder) throws Exception {
         BlockingQueue<String> lines = new LinkedBlockingQueue<>();
--- a/sidecar/src/test/java/sagefall/recovery/LossyDisk.java
+++ b/sidecar/src/test/java/sagefall/recovery/LossyDisk.java
@@ -100,6 +100,11 @@
         return List.copyOf(names.keySet());
     }
 
+    @Override
+    public boolean has(String name) {
+        return names.containsKey(name);
+    }
+
     @Override
     public byte[] read(String name, long most) throws IOException {
         byte[] bytes = get(name);
