Duties: one owner at a time among a machine's sidecars, by lease and term

Need: some work is to be done once for all sidecars of a machine, and an owner that was stopped and wakes up late must do no harm.

The section duties (a shared folder, a lease), off without it. Lease decides, purely, when to ask, renew and stop; FolderStore keeps it in files without any lock; Holder runs both on a thread of its own; Digest is the first duty: what discovery told last, from which a sidecar that starts with nothing kept learns which servers to leave alone. Values are files by term, of which the newest counts, so what an old owner writes late is read by nobody.

A first store kept the lease under a file lock. Seen: HolderTest stopped an owner while it had the lock, and nobody took the next term in 60 s. So the lock went: a term is a hard link that only the first gets; who renews writes and then looks for a newer term, who takes over writes and then looks how long the one before lasts.

--- a/sidecar/src/main/java/sagefall/recovery/Disk.java
+++ b/sidecar/src/main/java/sagefall/recovery/Disk.java
@@ -8,7 +8,7 @@
  * All that keeping asks of a folder, so that a power loss at each of these calls can be played. What was
  * written counts as kept only once it was forced, and a name only once the folder was.
  */
-interface Disk extends Closeable {
+public interface Disk extends Closeable {
 
     /** A file that is written from its beginning on. */
     interface Out extends Closeable {
@@ -33,6 +33,9 @@
     /** Takes the place of what has the other name. */
     void rename(String from, String to) throws IOException;
 
+    /** Gives a file a second name, unless that is taken; whether it was free. */
+    boolean link(String from, String to) throws IOException;
+
     void delete(String name) throws IOException;
 
     /** Returns once all names are as they are now on the disk too. */
--- a/sidecar/src/main/java/sagefall/recovery/FolderDisk.java
+++ b/sidecar/src/main/java/sagefall/recovery/FolderDisk.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -14,28 +14,40 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-/** A folder of the machine's, held by one process at a time. */
-final class FolderDisk implements Disk {
+/** A folder of the machine's, held by one process, or shared. */
+public final class FolderDisk implements Disk {
 
     private static final String LOCK = "lock";
 
     private final Path folder;
     private final FileChannel lock;
 
+    private FolderDisk(Path folder, FileChannel lock) throws IOException {
+        this.folder = folder;
+        this.lock = lock;
+    }
+
     /** Makes the folder where there is none; fails where another process holds it. */
-    FolderDisk(Path folder) throws IOException {
-        this.folder = Files.createDirectories(folder);
-        lock = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        FileLock held;
+    public static FolderDisk own(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        FileChannel lock = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE);
+        boolean mine;
         try {
-            held = lock.tryLock();
+            mine = lock.tryLock() != null;
         } catch (OverlappingFileLockException e) {
-            held = null;
+            mine = false;
         }
-        if (held == null) {
+        if (!mine) {
             lock.close();
             throw new IOException(folder + " is in use by another process");
         }
+        return new FolderDisk(folder, lock);
+    }
+
+    /** One that several processes use at a time. */
+    public static FolderDisk shared(Path folder) throws IOException {
+        return new FolderDisk(Files.createDirectories(folder), null);
     }
 
     @Override
@@ -107,8 +119,20 @@
         }
     }
 
+    @Override
+    public boolean link(String from, String to) throws IOException {
+        try {
+            Files.createLink(folder.resolve(to), folder.resolve(from));
+            return true;
+        } catch (FileAlreadyExistsException e) {
+            return false;
+        }
+    }
+
     @Override
     public void close() throws IOException {
-        lock.close();
+        if (lock != null) {
+            lock.close();
+        }
     }
 }
--- a/sidecar/src/main/java/sagefall/recovery/Journal.java
+++ b/sidecar/src/main/java/sagefall/recovery/Journal.java
@@ -3,10 +3,8 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Arrays;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.zip.CRC32C;
 
 /**
  * Snapshot and write-ahead log of what is kept. A snapshot is written aside, forced, renamed, and the folder
@@ -20,11 +18,8 @@
 final class Journal implements Closeable {
 
     static final String STATE = "state", LOG = "log-", ASIDE = "aside-";
-    private static final String NEXT = "state.next";
-    /** Eight bytes before the records of each file; the last one is the version of the format. */
-    private static final byte[] MAGIC = {'S', 'F', 'K', 'E', 'P', 'T', 0, 1};
-    /** Before each record's body: its length, its CRC32C, the length of the log that was forced before. */
-    private static final int HEAD = 16;
+    private static final byte[] MAGIC = WholeFile.MAGIC;
+    private static final int HEAD = WholeFile.HEAD;
     private static final long MOST_SUMMED = 64 * 1024 * 1024;
 
     private final Disk disk;
@@ -88,7 +83,7 @@
             written = MAGIC.length;
             forced = written;
         }
-        log.write(record(body, forced));
+        log.write(WholeFile.record(body, forced));
         written += HEAD + body.length;
         if (forceEach) {
             log.force();
@@ -99,19 +94,13 @@
 
     /** Writes all that is kept anew. */
     void snapshot() throws IOException {
-        byte[] record = record(state.bytes(generation + 1), 0);
-        if (MAGIC.length + record.length > maxBytes) {
-            throw new IOException("what is to be kept, " + record.length + " bytes, is over the bound");
+        byte[] body = state.bytes(generation + 1);
+        if (MAGIC.length + HEAD + body.length > maxBytes) {
+            throw new IOException("what is to be kept, " + body.length + " bytes, is over the bound");
         }
         broken = true;
         closeLog();
-        try (Disk.Out out = disk.create(NEXT)) {
-            out.write(MAGIC);
-            out.write(record);
-            out.force();
-        }
-        disk.rename(NEXT, STATE);
-        disk.forceNames();
+        WholeFile.write(disk, STATE, body);
         generation++;
         written = 0;
         forced = 0;
@@ -141,18 +130,6 @@
         disk.forceNames();
     }
 
-    private static byte[] record(byte[] body, long forcedBefore) {
-        ByteBuffer record = ByteBuffer.allocate(HEAD + body.length);
-        record.putInt(body.length).putInt(0).putLong(forcedBefore).put(body);
-        return record.putInt(4, sum(record.array(), 8, 8 + body.length)).array();
-    }
-
-    private static int sum(byte[] bytes, int from, int length) {
-        CRC32C sum = new CRC32C();
-        sum.update(bytes, from, length);
-        return (int) sum.getValue();
-    }
-
     @Override
     public void close() throws IOException {
         closeLog();
@@ -189,23 +166,18 @@
                     newest = Math.max(newest, Long.parseLong(each.substring(LOG.length())));
                 }
             }
-            byte[] bytes = bytes(STATE);
-            if (bytes == null) {
-                return Kept.nothing(name);
-            }
-            head(STATE, bytes);
-            byte[] body = body(bytes, MAGIC.length);
-            if (body == null || MAGIC.length + HEAD + body.length != bytes.length) {
-                throw new Unreadable(STATE + " is damaged", false);
-            }
             Kept kept;
             long mine;
             try {
+                byte[] body = WholeFile.read(disk, STATE, most);
+                if (body == null) {
+                    return Kept.nothing(name);
+                }
                 Map<String, Object> values = Kept.values(body);
                 kept = Kept.kept(values);
                 mine = Kept.number(values, "generation");
             } catch (IOException e) {
-                throw new Unreadable(STATE + ": " + e.getMessage(), false);
+                throw new Unreadable(e.getMessage(), false);
             }
             if (!kept.name().equals(name)) {
                 throw new Unreadable(STATE + " belongs to the sidecar '" + kept.name() + "'", true);
@@ -215,27 +187,16 @@
             return log(kept, LOG + mine);
         }
 
-        private byte[] bytes(String name) throws Unreadable {
+        private Kept log(Kept kept, String name) throws Unreadable {
+            byte[] bytes;
             try {
-                return disk.read(name, most);
+                bytes = disk.read(name, most);
+                if (bytes != null && bytes.length > MAGIC.length) {
+                    WholeFile.head(name, bytes);
+                }
             } catch (IOException e) {
                 throw new Unreadable(e.getMessage(), false);
             }
-        }
-
-        private static void head(String name, byte[] bytes) throws Unreadable {
-            int last = MAGIC.length - 1;
-            if (bytes.length < MAGIC.length || !Arrays.equals(bytes, 0, last, MAGIC, 0, last)) {
-                throw new Unreadable(name + " is damaged", false);
-            }
-            if (bytes[last] != MAGIC[last]) {
-                throw new Unreadable(name + " has format " + bytes[last] + ", this program knows "
-                        + MAGIC[last], false);
-            }
-        }
-
-        private Kept log(Kept kept, String name) throws Unreadable {
-            byte[] bytes = bytes(name);
             if (bytes == null) {
                 return kept;
             }
@@ -244,10 +205,9 @@
                 cut = bytes.length < MAGIC.length ? bytes.length : 0;
                 return kept;
             }
-            head(name, bytes);
             Kept now = kept;
             int at = MAGIC.length;
-            for (byte[] body; at < bytes.length && (body = body(bytes, at)) != null;
+            for (byte[] body; at < bytes.length && (body = WholeFile.body(bytes, at)) != null;
                     at += HEAD + body.length) {
                 try {
                     now = now.with(Kept.change(Kept.values(body)));
@@ -262,18 +222,6 @@
             return now;
         }
 
-        /** The body of the record that begins there; null where none that is whole does. */
-        private static byte[] body(byte[] bytes, int at) {
-            if (bytes.length - at < HEAD) {
-                return null;
-            }
-            ByteBuffer head = ByteBuffer.wrap(bytes, at, HEAD);
-            int length = head.getInt();
-            int sum = head.getInt();
-            return length < 0 || length > bytes.length - at - HEAD || sum(bytes, at + 8, 8 + length) != sum
-                    ? null : Arrays.copyOfRange(bytes, at + HEAD, at + HEAD + length);
-        }
-
         /**
          * Whether any whole record after the bad one says that it had been forced. Bytes made to look like
          * many records would take for ever: past a bound they count as damage.
@@ -285,7 +233,7 @@
                 int length = head.getInt();
                 if (length > 0 && length <= bytes.length - at - HEAD && head.getLong(at + 8) > bad) {
                     left -= length;
-                    if (body(bytes, at) != null) {
+                    if (WholeFile.body(bytes, at) != null) {
                         return true;
                     }
                 }
--- a/sidecar/src/main/java/sagefall/recovery/Keeper.java
+++ b/sidecar/src/main/java/sagefall/recovery/Keeper.java
@@ -32,7 +32,7 @@
 
     /** Opens the folder and goes on keeping, on a thread of its own; nothing here waits for a disk. */
     public Keeper(Recovery section, String name, Consumer<String> log) {
-        this(section, name, log, () -> new FolderDisk(section.directory()));
+        this(section, name, log, () -> FolderDisk.own(section.directory()));
     }
 
     Keeper(Recovery section, String name, Consumer<String> log, Opening opening) {
--- a/sidecar/src/main/java/sagefall/recovery/Kept.java
+++ b/sidecar/src/main/java/sagefall/recovery/Kept.java
@@ -54,7 +54,7 @@
     public record Change(boolean all, long revision, long atMillis, Map<Long, Line> lines) {
 
         /** Both, one after the other. */
-        Change then(Change next) {
+        public Change then(Change next) {
             if (next.all) {
                 return next;
             }
@@ -68,7 +68,8 @@
     static final int MOST_GONE = 1024;
     private static final CBORFactory CBOR = new CBORFactory();
 
-    static Kept nothing(String name) {
+    /** Nothing at all. */
+    public static Kept nothing(String name) {
         return new Kept(name, 0, 0, 0, Map.of());
     }
 
@@ -77,7 +78,7 @@
     }
 
     /** With what discovery told since. */
-    Kept with(Change change) {
+    public Kept with(Change change) {
         Map<Long, Line> next = new LinkedHashMap<>(lines);
         if (change.all) {
             next.replaceAll((id, line) -> change.lines.containsKey(id) ? line
@@ -93,7 +94,8 @@
 
     // ---- As bytes
 
-    byte[] bytes(long generation) throws IOException {
+    /** The whole, with a number of the writer's. */
+    public byte[] bytes(long generation) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (JsonGenerator to = CBOR.createGenerator(out)) {
             to.writeStartObject();
@@ -138,13 +140,14 @@
     }
 
     /** A record's body as plain values. */
-    static Map<String, Object> values(byte[] body) throws IOException {
+    public static Map<String, Object> values(byte[] body) throws IOException {
         try (JsonParser parser = CBOR.createParser(body)) {
             return Json.document(parser);
         }
     }
 
-    static Kept kept(Map<?, ?> m) throws IOException {
+    /** Reads the whole again. */
+    public static Kept kept(Map<?, ?> m) throws IOException {
         return new Kept(text(m, "name"), number(m, "epoch"), number(m, "revision"), number(m, "at_ms"),
                 lines(m));
     }
@@ -170,7 +173,8 @@
         return lines;
     }
 
-    static long number(Map<?, ?> m, String name) throws IOException {
+    /** A whole number that has to be there. */
+    public static long number(Map<?, ?> m, String name) throws IOException {
         if (m.get(name) instanceof Long n) {
             return n;
         }
--- a/sidecar/src/main/java/sagefall/sidecar/Extensions.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Extensions.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import sagefall.LoadBalancer.RequestClass;
 import sagefall.Section;
+import sagefall.duties.Duties;
 import sagefall.recovery.Recovery;
 import sagefall.streaming.Streaming;
 
@@ -15,9 +16,9 @@
  * operators' own and stands beside the platform's configuration, so that none of its names can meet one of
  * the platform's.
  */
-record Extensions(Streaming streaming, Recovery recovery) {
+record Extensions(Streaming streaming, Recovery recovery, Duties duties) {
 
-    static final Extensions NONE = new Extensions(Streaming.OFF, Recovery.OFF);
+    static final Extensions NONE = new Extensions(Streaming.OFF, Recovery.OFF, Duties.OFF);
 
     /** Reads the file, if one is named; the exception's message is one plain line. */
     static Extensions read(Map<String, String> environment, List<RequestClass> classes) throws IOException {
@@ -34,8 +35,9 @@
                     ? Streaming.read(all.section("streaming"), classes) : Streaming.OFF;
             Recovery recovery = sections.containsKey("recovery")
                     ? Recovery.read(all.section("recovery")) : Recovery.OFF;
+            Duties duties = sections.containsKey("duties") ? Duties.read(all.section("duties")) : Duties.OFF;
             all.end();
-            return new Extensions(streaming, recovery);
+            return new Extensions(streaming, recovery, duties);
         });
     }
 }
--- a/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
@@ -18,6 +18,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -30,6 +31,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiFunction;
 import sagefall.Choice;
 import sagefall.LoadBalancer;
@@ -41,6 +44,11 @@
 import sagefall.LoadBalancer.RequestClass;
 import sagefall.LoadBalancer.Result;
 import sagefall.LoadBalancer.Settings;
+import sagefall.duties.Digest;
+import sagefall.duties.Duties;
+import sagefall.duties.FolderStore;
+import sagefall.duties.Holder;
+import sagefall.duties.LeaseStore;
 import sagefall.recovery.Keeper;
 import sagefall.recovery.Kept;
 import sagefall.recovery.Recovery;
@@ -82,6 +90,9 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private Keeper keeper;
     private Kept kept;
+    private Digest.Read newcomers;
+    private Digest digest;
+    private Holder holder;
     private boolean inModule;
     private boolean stopping;
 
@@ -152,6 +163,9 @@
                 Kept kept = keeper.opened(OPENED_MILLIS);
                 loop.submit(() -> sidecar.keep(keeper, kept)).sync();
             }
+            if (config.extensions().duties().isOn()) {
+                sidecar.takeDuties();
+            }
             try {
                 sidecar.start().get();
             } catch (ExecutionException e) {
@@ -188,8 +202,42 @@
         }
     }
 
-    /** Writes what is still to be kept; any thread. */
+    /** Reads what the sidecars of this machine have in common and stands for writing it; not on the loop. */
+    private void takeDuties() throws InterruptedException {
+        Duties duties = config.extensions().duties();
+        AtomicReference<Digest.Read> read = new AtomicReference<>();
+        CompletableFuture<LeaseStore> opening = CompletableFuture.supplyAsync(() -> {
+            try {
+                LeaseStore store = new FolderStore(duties.directory());
+                try {
+                    read.set(Digest.read(store));
+                } catch (IOException e) {
+                    log("duties: the digest is left out: " + plain(e));
+                }
+                return store;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        LeaseStore store;
+        try {
+            store = opening.get(OPENED_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            log("duties: going on without: " + plain(e));
+            return;
+        }
+        Digest duty = new Digest();
+        String owner = config.name() + "#" + ProcessHandle.current().pid() + "#" + clock.micros();
+        Holder of = new Holder(store, owner, duty, duties.leaseMillis(),
+                config.settings().seed() ^ config.settings().rank(), this::log);
+        loop.submit(() -> serveAll(read.get(), duty, of)).sync();
+    }
+
+    /** Writes what is still to be kept and gives duties back; any thread. */
     private void keptAll() {
+        if (holder != null) {
+            holder.close();
+        }
         if (keeper != null) {
             keeper.close();
         }
@@ -225,6 +273,12 @@
             if (kept != null) {
                 log("recovery: epoch " + kept.epoch() + ", nothing was kept; known: " + known.told());
             }
+            if (newcomers != null && newcomers.kept().revision() > known.revision()) {
+                ServerList last = config.lists().kept(newcomers.kept());
+                log("recovery: digest of term " + newcomers.term() + ": " + last.told() + ", restricts only");
+                tell(null, now -> module.kept(now, last.revision(), false, last.servers()));
+                discovery.whole();
+            }
             listed(ListKind.CACHED, known);
             keepList(known);
         }
@@ -234,6 +288,9 @@
         if (keeper != null) {
             keeper.told(config.lists().change(list, keeper.wallMillis()));
         }
+        if (digest != null) {
+            digest.told(config.lists().change(list, System.currentTimeMillis()));
+        }
     }
 
     /** What an earlier life kept, and who keeps what this one is told; before the first list. */
@@ -242,6 +299,13 @@
         kept = before;
     }
 
+    /** What the machine's sidecars have in common, and the duty of writing it; before the first list. */
+    void serveAll(Digest.Read before, Digest duty, Holder of) {
+        newcomers = before;
+        digest = duty;
+        holder = of;
+    }
+
     /** Hands the module its first list and opens the door; gives the address once clients can connect. */
     CompletableFuture<InetSocketAddress> start() {
         CompletableFuture<InetSocketAddress> started = new CompletableFuture<>();
--- a/sidecar/src/test/java/sagefall/recovery/JournalTest.java
+++ b/sidecar/src/test/java/sagefall/recovery/JournalTest.java
@@ -281,7 +281,7 @@
             Files.createDirectory(folder);
             assertTrue(lines.poll(60, TimeUnit.SECONDS).contains("keeping again"));
         }
-        Kept read = Journal.open(new FolderDisk(folder), "n1", BOUND, true, said::add).state();
+        Kept read = Journal.open(FolderDisk.own(folder), "n1", BOUND, true, said::add).state();
         assertEquals(6, read.revision());
     }
 
--- a/sidecar/src/test/java/sagefall/recovery/KillTest.java
+++ b/sidecar/src/test/java/sagefall/recovery/KillTest.java
@@ -20,7 +20,7 @@
 
     /** Tells the epoch and revision that it found, then each revision once it is kept. */
     public static void main(String[] args) throws IOException {
-        Journal journal = Journal.open(new FolderDisk(Path.of(args[0])), "n1", BOUND, true,
+        Journal journal = Journal.open(FolderDisk.own(Path.of(args[0])), "n1", BOUND, true,
                 line -> System.out.println("said " + line));
         System.out.println("epoch " + journal.state().epoch());
         System.out.println("found " + journal.state().revision());
--- a/sidecar/src/test/java/sagefall/recovery/LossyDisk.java
+++ b/sidecar/src/test/java/sagefall/recovery/LossyDisk.java
@@ -12,10 +12,10 @@
  * A folder in memory that loses power at a given call. What was not forced by then is there, lost, or cut
  * anywhere, of each file and each name on its own.
  */
-final class LossyDisk implements Disk {
+public final class LossyDisk implements Disk {
 
     /** Thrown by the call in which the power goes, and by all later ones. */
-    static final class PowerLoss extends IOException {
+    public static final class PowerLoss extends IOException {
         private static final long serialVersionUID = 1;
     }
 
@@ -32,7 +32,7 @@
     /** Bytes that still fit; what is written past it fails. */
     long room = Long.MAX_VALUE;
 
-    LossyDisk(long callsUntilLoss, long seed) {
+    public LossyDisk(long callsUntilLoss, long seed) {
         left = callsUntilLoss;
         random = new SplittableRandom(seed);
     }
@@ -45,7 +45,7 @@
     }
 
     /** The folder as it is found when the power is back. */
-    LossyDisk after(long callsUntilLoss, long seed) {
+    public LossyDisk after(long callsUntilLoss, long seed) {
         LossyDisk next = new LossyDisk(callsUntilLoss, seed);
         Map<String, Content> found = new TreeMap<>(forcedNames);
         for (String name : all()) {
@@ -148,6 +148,12 @@
         names.put(to, names.remove(from));
     }
 
+    @Override
+    public boolean link(String from, String to) throws IOException {
+        call();
+        return names.putIfAbsent(to, names.get(from)) == null;
+    }
+
     @Override
     public void delete(String name) throws IOException {
         call();
