Show duties on the rig and from outside: owners stopped and killed, status, history

The rig looks every 5 ms at who holds the duty and at what counts of it; the check OWNER is red where a term, or the term or revision of the digest, goes back, or a term has two owners (three histories by hand).

--- a/lab/src/main/java/sagefall/lab/Lab.java
+++ b/lab/src/main/java/sagefall/lab/Lab.java
@@ -4,6 +4,7 @@
 import picocli.CommandLine.Command;
 import sagefall.lab.command.Ablate;
 import sagefall.lab.command.Compare;
+import sagefall.lab.command.DutiesCommand;
 import sagefall.lab.command.Rank;
 import sagefall.lab.command.Run;
 import sagefall.lab.command.Scenarios;
@@ -27,7 +28,7 @@
         subcommands = {Run.class, Compare.class, Ablate.class, Sweep.class, Rank.class, Scenarios.class,
                 Speed.class,
                 Demo.class, Load.class, StandIns.class, StreamLoad.class, Windows.class,
-                RigCommand.class})
+                RigCommand.class, DutiesCommand.class})
 public final class Lab {
 
     private Lab() { }
--- a/lab/src/main/java/sagefall/lab/rig/Checks.java
+++ b/lab/src/main/java/sagefall/lab/rig/Checks.java
@@ -39,6 +39,8 @@
         CRASH,
         /** Descriptors and memory are back to their base at rest. */
         REST,
+        /** Terms of a duty, and what counts of it, never go back, and each term has one owner. */
+        OWNER,
         /** Stand-ins keep to what they say of themselves. */
         STAND_IN
     }
@@ -101,6 +103,8 @@
     private final Map<Long, ArrayDeque<Entry>> toCold = new HashMap<>();
     private final Map<Integer, Entry> before = new HashMap<>();
     private final List<Stall> stalls = new ArrayList<>();
+    private final Map<String, Long> duty = new HashMap<>();
+    private final Map<Long, String> owners = new HashMap<>();
     private JsonNode play;
     private long end = Long.MAX_VALUE;
 
@@ -184,11 +188,34 @@
             case "server" -> server(e);
             case "process" -> process(e);
             case "rest" -> rest(e);
+            case "duty" -> duty(e);
             case "end" -> end = e.at();
             default -> { }
         }
     }
 
+    // ---- Duties
+
+    private void duty(Entry e) {
+        if (!e.line().has("term")) {
+            breach(Rule.OWNER, e.at(), "the duty can't be read: %s", e.text("unread"));
+            return;
+        }
+        for (String figure : List.of("term", "written", "rev")) {
+            long before = duty.getOrDefault(figure, 0L);
+            if (e.number(figure) < before) {
+                breach(Rule.OWNER, e.at(), "the duty's %s went back from %d to %d", figure, before,
+                        e.number(figure));
+            }
+            duty.put(figure, Math.max(before, e.number(figure)));
+        }
+        String owner = e.text("owner");
+        String before = owner.isEmpty() ? owner : owners.putIfAbsent(e.number("term"), owner);
+        if (before != null && !before.equals(owner)) {
+            breach(Rule.OWNER, e.at(), "term %d was %s's and %s's", e.number("term"), before, owner);
+        }
+    }
+
     // ---- Lists
 
     private void told(Entry e) {
--- a/lab/src/main/java/sagefall/lab/rig/Rig.java
+++ b/lab/src/main/java/sagefall/lab/rig/Rig.java
@@ -90,6 +90,7 @@
     private final List<Child> replicas = new ArrayList<>();
     private final Ledger ledger;
     private final Schedule schedule;
+    private final Owners owners;
     private Discovery discovery;
     private Traffic traffic;
     private int slots;
@@ -114,6 +115,8 @@
         int zones = scenario.fleet().zones().size();
         network = new Network(scenario.net(), draws, zones);
         setupMicros = scenario.net().setupMicros().draw(draws, "net.setup");
+        owners = scenario.fleet().leaseMillis() == 0 ? null
+                : new Owners(out.resolve("shared").toAbsolutePath());
         Map<String, Object> facts = Facts.of(scenario);
         facts.put("rank", 0L);
         facts.put("zone", 0L);
@@ -271,6 +274,9 @@
         pace.begin();
         history.line("begin");
         workers.submit(this::watchStarving);
+        if (owners != null) {
+            workers.submit(() -> owners.watch(history));
+        }
         pace.call(() -> {
             sidecars.forEach(SidecarMember::ready);
             traffic = new Traffic(scenario, draws, pace.loop(), sidecars, ledger, network, requestClass,
@@ -343,6 +349,11 @@
 
     // ---- For its parts
 
+    /** Who holds the duty; null where there is none. */
+    Owners owners() {
+        return owners;
+    }
+
     Draws draws() {
         return draws;
     }
--- a/lab/src/main/java/sagefall/lab/rig/Schedule.java
+++ b/lab/src/main/java/sagefall/lab/rig/Schedule.java
@@ -1,6 +1,7 @@
 package sagefall.lab.rig;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -180,6 +181,20 @@
                 }
             });
             case SLOW_SIDECARS -> spell(i, on -> duty(i, on));
+            case STOP_OWNER -> {
+                SidecarMember[] who = new SidecarMember[1];
+                spell(i, on -> {
+                    who[0] = on ? owner() : who[0];
+                    if (who[0] != null) {
+                        who[0].signal(on ? "STOP" : "CONT");
+                    }
+                });
+            }
+            case KILL_OWNER -> spell(i, i.drawn.from(), size, on -> {
+                if (on && owner() != null) {
+                    owner().kill((long) (1e6 * size));
+                }
+            });
             case LATE_LISTS -> spell(i, on -> rig.discovery().late *= on ? size : 1 / size);
             case DISCOVERY_DOWN -> spell(i, on -> {
                 rig.discovery().down += on ? 1 : -1;
@@ -331,6 +346,11 @@
 
     // ---- Sidecars
 
+    private SidecarMember owner() throws IOException {
+        int index = rig.owners() == null ? -1 : rig.owners().holder();
+        return index < 0 ? null : rig.sidecars().get(index);
+    }
+
     private void restarts(Item i) {
         spell(i, on -> { });
         int steps = Math.min(TENTHS, Math.max(1, i.sidecars.size()));
--- a/lab/src/main/java/sagefall/lab/rig/SidecarMember.java
+++ b/lab/src/main/java/sagefall/lab/rig/SidecarMember.java
@@ -136,10 +136,17 @@
     }
 
     private Map<String, Object> extensions() {
+        Map<String, Object> sections = new HashMap<>();
         String keeps = rig.scenario.fleet().keeps();
-        return keeps.equals("off") ? null : Map.of("recovery", Map.of("directory",
-                folder.resolve("kept").toString(), "sync", keeps, "max_age_ms", MAX_AGE,
-                "clock_offset_ms", clockOffsetMillis));
+        if (!keeps.equals("off")) {
+            sections.put("recovery", Map.of("directory", folder.resolve("kept").toString(), "sync", keeps,
+                    "max_age_ms", MAX_AGE, "clock_offset_ms", clockOffsetMillis));
+        }
+        if (rig.owners() != null) {
+            sections.put("duties", Map.of("directory", rig.owners().folder().toString(), "lease_ms",
+                    rig.scenario.fleet().leaseMillis()));
+        }
+        return sections.isEmpty() ? null : sections;
     }
 
     /** From its next start on: what its configuration says of the servers, and its wall clock. */
--- a/lab/src/main/java/sagefall/lab/scenario/Fault.java
+++ b/lab/src/main/java/sagefall/lab/scenario/Fault.java
@@ -117,7 +117,11 @@
         /** A part of the servers is said to drain and goes on taking what comes; then it ends. */
         DRAIN("for_s part", REAL),
         /** From its next start on a part of the sidecars takes the wall clock to be so many seconds ahead. */
-        WRONG_CLOCK("size part", REAL);
+        WRONG_CLOCK("size part", REAL),
+        /** Whoever holds the duty then stands still (SIGSTOP) and goes on. */
+        STOP_OWNER("for_s", REAL),
+        /** Whoever holds the duty then is killed and back after so many seconds. */
+        KILL_OWNER("size", REAL);
 
         private final List<String> names;
         private final Set<Side> sides;
@@ -218,8 +222,8 @@
 
         /** When the last of it is over. */
         public double end() {
-            return from + (fault.kind == Kind.KILL_SIDECARS || fault.kind == Kind.POWER_LOSS ? size
-                    : seconds);
+            return from + (fault.kind == Kind.KILL_SIDECARS || fault.kind == Kind.POWER_LOSS
+                    || fault.kind == Kind.KILL_OWNER ? size : seconds);
         }
     }
 
--- a/lab/src/main/java/sagefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/sagefall/lab/scenario/Scenario.java
@@ -32,7 +32,8 @@
     public static final List<String> RIG = List.of("rig-calm", "rig-kill", "rig-restart", "rig-zone",
             "rig-one-way", "rig-slow-servers", "rig-slow-sidecars", "rig-discovery", "rig-disagree",
                     "rig-flap",
-            "rig-stop", "rig-reborn", "rig-blackout", "rig-second-loss");
+            "rig-stop", "rig-reborn", "rig-blackout", "rig-second-loss",
+            "rig-owner");
 
     /** A scenario's text, and what messages call it. */
     public record Source(String file, String text) { }
@@ -48,9 +49,10 @@
      * @param serverSkew how unevenly the zones share the servers, 0 to 1
      * @param startSeconds from a sidecar's start until it is ready; real processes take what they take
      * @param keeps whether real sidecars keep what they are told: off, or the section's word for how
+     * @param leaseMillis of the duty that real sidecars stand for; 0: none
      */
     public record Fleet(int sidecars, int servers, List<String> zones, double serverSkew, int cellServers,
-            Range startSeconds, String keeps) { }
+            Range startSeconds, String keeps, int leaseMillis) { }
 
     /**
      * @param use offered work as a part of what all servers can do
@@ -216,7 +218,8 @@
         Fleet fleet = new Fleet(t.whole("sidecars", 100, 1, 10_000), t.whole("servers", 200, 1, 20_000),
                 t.words("zones", List.of("a", "b", "c", "d")), t.number("server_skew", 0.3, 0, 1),
                 t.whole("cell_servers", 8, 1, 1000), t.range("start_s", Range.of(0), 0, 60),
-                t.word("keeps", "off", List.of("off", "each", "snapshot")));
+                t.word("keeps", "off", List.of("off", "each", "snapshot")),
+                t.whole("lease_ms", 0, 0, 600_000));
         t.end();
         if (fleet.zones.size() > fleet.servers) {
             throw t.wrong("servers", "must be one for each zone at the least");
--- a/lab/src/test/java/sagefall/lab/rig/ChecksTest.java
+++ b/lab/src/test/java/sagefall/lab/rig/ChecksTest.java
@@ -97,6 +97,15 @@
         "run again beyond the window | V 4000 effect id q key k server 3 zone 0 | EFFECT",
         "four sends | S 110 send id r who 0 to A; 120 send id r who 0 to C; 130 send id r who 0 to A; "
                 + "140 answer id r who 0 status 504 | ATTEMPTS",
+        "a duty that goes from one to the next | S 300 duty term 1 owner a written 1 rev 5; "
+                + "400 duty term 2 owner b written 1 rev 5; 500 duty term 2 owner b written 2 rev 6; "
+                + "600 answer id r who 0 status 504 |",
+        "an old owner's word counts again | S 300 duty term 2 owner b written 2 rev 5; "
+                + "400 duty term 2 owner b written 1 rev 5; 600 answer id r who 0 status 504 | OWNER",
+        "one term, two owners | S 300 duty term 2 owner b written 2 rev 5; "
+                + "400 duty term 2 owner c written 2 rev 5; 600 answer id r who 0 status 504 | OWNER",
+        "a digest of an older list | S 300 duty term 2 owner b written 2 rev 5; "
+                + "400 duty term 3 owner c written 3 rev 4; 600 answer id r who 0 status 504 | OWNER",
         "sent to a stranger | A 101 send id r who 0 to Z; 140 answer id r who 0 status 504 | LISTED",
         "sent long after the drain | T 700 send id r who 0 to A; 710 answer id r who 0 status 504 | DRAIN",
         "sent soon after the drain | T 590 send id r who 0 to A; 610 answer id r who 0 status 504 |",
--- a/lab/src/test/java/sagefall/lab/rig/RigTest.java
+++ b/lab/src/test/java/sagefall/lab/rig/RigTest.java
@@ -75,6 +75,23 @@
         }
     }
 
+    /** The owner of the duty is stopped past its lease and woken, and the next one killed. */
+    @Test
+    void anOwnerThatWakesUpLateDoesNoHarm() throws Exception {
+        Play play = Play.of(plan("rig-owner", 23), folder);
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        play.print(new PrintStream(printed, true));
+        assertFalse(play.broken(), printed::toString);
+        long terms = History.read(folder.resolve(Rig.HISTORY)).stream().filter(e -> e.kind().equals("duty"))
+                .mapToLong(e -> e.number("term")).max().orElse(0);
+        assertTrue(terms >= 3, terms + " terms");
+        StringBuilder logs = new StringBuilder();
+        for (int i = 0; i < 6; i++) {
+            logs.append(Files.readString(folder.resolve("sidecar-" + i).resolve("log")));
+        }
+        assertTrue(logs.toString().contains("duties: digest: stops, term 1 "), logs::toString);
+    }
+
     /** That a sidecar dies which nobody ended is seen. */
     @Test
     void aCrashIsSeen() throws Exception {
