Tidy what dead processes were about to write; wait for an owner's own words in the test

A process killed in the middle of a write leaves a file beside the folder's own, one for each kill: whoever takes or writes next removes those whose process does not run any more. HolderTest stops an owner only once it has said that it holds its term, and looks on until the woken one has said that it stops: before, it could wait for a line of an owner that was stopped in the middle of acquiring, which never comes.

--- a/sidecar/src/main/java/sagefall/duties/FolderStore.java
+++ b/sidecar/src/main/java/sagefall/duties/FolderStore.java
@@ -13,6 +13,8 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import sagefall.Json;
 import sagefall.duties.Lease.Grant;
 import sagefall.recovery.Disk;
@@ -40,6 +42,7 @@
 
     private static final String TERM = "term-";
     private static final int MOST = 4 * 1024 * 1024, MOST_PAST = 32;
+    private static final Pattern LEFT = Pattern.compile(".+\\.next-([0-9]{1,18})");
     private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
     private static final CBORFactory CBOR = new CBORFactory();
 
@@ -182,8 +185,17 @@
         }
     }
 
-    /** What is far behind the newest goes; an old owner may bring it back, and nobody reads it. */
+    /**
+     * What is far behind the newest goes; an old owner may bring it back, and nobody reads it. So does what a
+     * process that has died was about to write.
+     */
     private void tidy(String kind, long newest) throws IOException {
+        for (String name : disk.names()) {
+            Matcher left = LEFT.matcher(name);
+            if (left.matches() && ProcessHandle.of(Long.parseLong(left.group(1))).isEmpty()) {
+                disk.delete(name);
+            }
+        }
         for (Map.Entry<Long, String> old : files(kind).headMap(newest - MOST_PAST).entrySet()) {
             disk.delete(old.getValue());
         }
--- a/sidecar/src/test/java/sagefall/duties/HolderTest.java
+++ b/sidecar/src/test/java/sagefall/duties/HolderTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -83,7 +84,7 @@
             }
             look(store, seen);
             assertTrue(System.nanoTime() < until, "nobody took term " + (term + 1));
-            TimeUnit.MILLISECONDS.sleep(2);
+            LockSupport.parkNanos(2_000_000);
         }
     }
 
@@ -105,6 +106,8 @@
             for (int round = 0; round < ROUNDS; round++) {
                 String owner = now.grant().owner();
                 Process process = processes.get(owner);
+                Path log = parent.resolve(owner + ".log");
+                awaitLine(process, log, "holds term " + now.grant().term() + "\n", store, seen);
                 long began = System.nanoTime();
                 String fault = List.of("STOP", "KILL", "TERM").get(round < 3 ? round : random.nextInt(3));
                 signal(fault, process);
@@ -113,11 +116,8 @@
                         (System.nanoTime() - began) / 1_000_000, LEASE_MILLIS);
                 if (fault.equals("STOP")) {
                     signal("CONT", process);
-                    // What it does late is seen.
-                    for (int i = 0; i < 100; i++) {
-                        look(store, seen);
-                        TimeUnit.MILLISECONDS.sleep(2);
-                    }
+                    // Whatever it does late is looked for until it says that it has stopped.
+                    awaitLine(process, log, "stops, term " + now.grant().term() + " ", store, seen);
                 } else {
                     process.waitFor();
                     processes.remove(owner);
@@ -147,6 +147,16 @@
         assertTrue(owners.size() > 1, seen.size() + " actions of " + owners);
     }
 
+    private static void awaitLine(Process process, Path log, String line, FolderStore store,
+            List<String> seen) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        while (!Files.readString(log).contains(line)) {
+            assertTrue(process.isAlive() && System.nanoTime() < until, () -> line + " never came");
+            look(store, seen);
+            process.waitFor(2, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** What counts at this moment, as anybody sees it. */
     private static void look(FolderStore store, List<String> seen) throws IOException {
         LeaseStore.Value value = store.read(ACTIONS);
