Lists: a silent watch is noticed within 4 s and asked anew at once; an agent is heard first

Discovery.ask gave every call hold + 1 s = 21 s, also one that does not wait (the whole list, a start, after SIGHUP, after silence). Choice.servers then waited ask_every / 8 and more, 0.6 to 1.9 s at first and up to 15 s later: ask_every is 10 s where lists are pushed, though that rule is one on services that are asked.

Patience: an agent holds 3 s and has 0.5 s for its answer, a service 2 s and 2 s; the arithmetic stands beside it. The first call and the first after a failure do not wait, so a peer that stays silent is seen in that short time. Where lists are pushed the module asks again after 50 to 150 ms, however often it failed. What an agent has counts as told from the first moment of a process: clients are let in after its first word, or after 0.5 s without one. A discovery that stays away is logged once for each reason.

--- a/sidecar/src/main/java/sagefall/Choice.java
+++ b/sidecar/src/main/java/sagefall/Choice.java
@@ -20,6 +20,8 @@
 
     /** List lines that discovery is taken to send all instances in the time within which each must ask. */
     private static final double LIST_LINES = 8000;
+    /** Mean time in microseconds until an agent that failed is asked again. */
+    private static final double AGENT_WAIT = 100_000;
     /** Kinds of timer, in the low bits of their tokens. */
     private static final int HELD = 0, ASK = 1, TIMER_KINDS = 2;
 
@@ -76,12 +78,11 @@
             later(now + random.nextLong(1 + wait), ASK, null);
         }
         if (kind == ListKind.FAILED) {
-            // Keep the list, ask again with jittered back-off inside the rule: four times as long by then.
-            double wait = settings.rules().askEveryMicros() / 8.0 * (1 << Math.min(askFailures++, 3));
+            // Keep the list; ask the own machine's agent again soon, a service with back-off inside the rule.
+            double wait = settings.discoveryOnAsk()
+                    ? settings.rules().askEveryMicros() / 8.0 * (1 << Math.min(askFailures, 3)) : AGENT_WAIT;
             later(now + 1 + (long) (wait * (0.5 + random.nextDouble())), ASK, null);
-            if (askFailures == 1) {
-                actions.log("discovery failed: the last list of " + tree.ready.size() + " servers stays");
-            }
+            if (askFailures++ == 0) actions.log("discovery failed: " + tree.ready.size() + " servers stay");
             return;
         }
         askFailures = 0;
--- a/sidecar/src/main/java/sagefall/sidecar/Link.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Link.java
@@ -167,12 +167,24 @@
      * socket would be taken for the next answer. Not to be called from what this link tells.
      */
     boolean usable() {
-        if (!asked && channel.isActive() && channel instanceof AbstractNioChannel nio) {
-            nio.unsafe().read();
+        if (!asked) {
+            catchUp();
         }
         return channel.isActive();
     }
 
+    /** Takes in all that has come so far; not to be called from what this link tells. */
+    void catchUp() {
+        readNow(channel);
+    }
+
+    /** Reads what waits in a socket, an end too, without waiting for the loop to come to it. */
+    static void readNow(Channel channel) {
+        if (channel.isActive() && channel instanceof AbstractNioChannel nio) {
+            nio.unsafe().read();
+        }
+    }
+
     void send(FullHttpRequest request) {
         send(request, 0);
     }
--- a/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
@@ -94,6 +94,9 @@
     private Digest digest;
     private Holder holder;
     private boolean inModule;
+    private long lookedAt;
+    /** To be done once discovery has said a first word, or is seen not to. */
+    private Runnable opening;
     private boolean stopping;
 
     /** Something to tell the module, and the request that it is about, if any. */
@@ -117,7 +120,7 @@
         reader = new RequestReader(config.settings());
         pool = new ServerPool(loop, clock, config, this);
         discovery = new Discovery(loop, config.discovery(), config.lists(), config.known().revision(), this,
-                this::log);
+                this::log, Discovery.Patience.of(config.settings().discoveryOnAsk()));
         clients = new ClientServer(loop, this, config.clientConnections(), this::log);
         extend(config.extensions());
     }
@@ -311,21 +314,36 @@
         CompletableFuture<InetSocketAddress> started = new CompletableFuture<>();
         loop.execute(() -> {
             open();
-            if (!config.settings().discoveryOnAsk()) {
+            if (config.settings().discoveryOnAsk()) {
+                listen(started);
+            } else {
                 // Pushed lists wait at an agent, which answers a watch; the module asks for nothing then.
+                // What it has counts as told from the first moment, so it is heard before any request.
+                opening = () -> listen(started);
                 discovery.subscribe();
             }
-            clients.listen(config.listen()).addListener(f -> {
-                if (f.isSuccess()) {
-                    started.complete(clients.address());
-                } else {
-                    started.completeExceptionally(f.cause());
-                }
-            });
         });
         return started;
     }
 
+    private void listen(CompletableFuture<InetSocketAddress> started) {
+        clients.listen(config.listen()).addListener(f -> {
+            if (f.isSuccess()) {
+                started.complete(clients.address());
+            } else {
+                started.completeExceptionally(f.cause());
+            }
+        });
+    }
+
+    private void heard() {
+        if (opening != null && !stopping) {
+            Runnable open = opening;
+            opening = null;
+            open.run();
+        }
+    }
+
     /** Answers all in hand, then ends. */
     void stop(Runnable ended) {
         if (stopping) {
@@ -384,11 +402,13 @@
     public void listed(ServerList list) {
         listed(list.complete() ? ListKind.COMPLETE : ListKind.CHANGES, list);
         keepList(list);
+        heard();
     }
 
     @Override
     public void failed(String why) {
         tell(null, now -> module.servers(now, ListKind.FAILED, List.of()));
+        heard();
     }
 
     @Override
