A last look before the first byte: lists, clients and windows that changed since the decision

Seen by reading, each reproduced by a test: (1) after a stall of the loop a request that had its turn before discovery's socket went to a server told to drain during the stall; (2) a request whose bytes and end came together, or that was held while its client left, was sent on, since the end is read a turn later; (3) the window of a keyed request was checked when its repeat was decided, not when its connection came up up to a connect timeout later; (4) a connection that came up was used for the whole drain grace counted from the reading of the list, though it runs from the telling, which a late loop does not see.

ServerPool.Connection.write asks its listener for a last look: Sidecar reads what discovery has written (also before each event for the module, at most each 20 ms) and what has come from the client, its end too (Link.readNow). The end of the window goes with the action (Actions.send, Pending.lastSend); the host only keeps it.

The emulator keeps the latest time too.

--- a/lab/src/main/java/sagefall/lab/model/Call.java
+++ b/lab/src/main/java/sagefall/lab/model/Call.java
@@ -33,6 +33,8 @@
         /** The server's process that the connection leads to; -1 while there is none. */
         int epoch = -1;
         boolean fresh;
+        /** From when on its first byte may not go out any more. */
+        long latestAt = Long.MAX_VALUE;
         /** The client has its answer from this attempt: what the server did was no waste. */
         boolean used;
         Result result;
--- a/lab/src/main/java/sagefall/lab/model/Sidecar.java
+++ b/lab/src/main/java/sagefall/lab/model/Sidecar.java
@@ -321,7 +321,11 @@
         server.connections++;
         loop.in((long) (2 * there * world.setupTrips()), () -> {
             if (a.result == null && a.life == life) {
-                world.carry(a);
+                if (loop.now() >= a.latestAt) {
+                    end(a, Result.NOT_SENT, null);
+                } else {
+                    world.carry(a);
+                }
             }
         });
     }
@@ -329,7 +333,7 @@
     // ---- Actions
 
     @Override
-    public void send(String requestId, long serverId, long timeoutMicros) {
+    public void send(String requestId, long serverId, long timeoutMicros, long latestMicros) {
         Loop loop = world.loop();
         Call call = calls.get(requestId);
         SaveServer server = world.server(serverId);
@@ -338,6 +342,7 @@
             return;
         }
         Attempt a = new Attempt(call, this, call.attempts.size(), server, loop.now());
+        a.latestAt = latestMicros;
         call.attempts.add(a);
         call.out++;
         if (call.over || loop.now() >= call.deadline) {
--- a/lab/src/main/java/sagefall/lab/policy/Baseline.java
+++ b/lab/src/main/java/sagefall/lab/policy/Baseline.java
@@ -100,7 +100,7 @@
         }
         p.tried.add(server);
         server.out++;
-        actions.send(p.request.id(), server.id, 0);
+        actions.send(p.request.id(), server.id, 0, Long.MAX_VALUE);
     }
 
     @Override
--- a/lab/src/main/java/sagefall/lab/policy/WirePolicy.java
+++ b/lab/src/main/java/sagefall/lab/policy/WirePolicy.java
@@ -117,7 +117,7 @@
             String ticket = action.path("ticket").asText();
             switch (action.path("op").asText()) {
                 case "Place" -> actions.send(ticket, action.path("server").asLong(),
-                        action.path("give_up_after_us").asLong());
+                        action.path("give_up_after_us").asLong(), Long.MAX_VALUE);
                 case "PushBack" -> actions.refuse(ticket, action.path("retry_in_us").asLong(),
                         Reason.TOO_LATE);
                 case "ReportFailure" -> actions.fail(ticket, Reason.TOO_LATE);
--- a/sidecar/src/main/java/sagefall/Choice.java
+++ b/sidecar/src/main/java/sagefall/Choice.java
@@ -164,10 +164,6 @@
         actions.log("holding: " + waiting.held().size() + " requests wait, no server has room");
     }
 
-    private long lastUseful(Pending p) {
-        return waiting.lastUseful(p, requests.size());
-    }
-
     /** Serves the queue while servers have room. */
     private void pump(long now) {
         for (Pending next; (next = waiting.next()) != null;) {
@@ -197,11 +193,12 @@
             actions.closeIdle(b.id);
         }
         if (a.number > 0) budget.spent();
+        long latest = p.lastSend(settings.tickMicros());
         // Before a body's last byte a server has nothing to do: neither work in flight nor silence counts.
         if (!p.uploading) health.owed(now, a);
         p.attempts.add(a);
         p.out++;
-        actions.send(p.request.id(), b.id, 0);
+        actions.send(p.request.id(), b.id, 0, latest);
     }
 
     /** The single place where this instance ends a request. */
@@ -253,9 +250,8 @@
 
     /** A further attempt, if effect, cap, retry budget, body and the time left allow it; else the end. */
     private void again(long now, Pending p) {
-        boolean sensible = !p.spent && now < lastUseful(p) && p.attempts.size() < settings.limits().attempts()
-                && p.mayRepeat();
-        if (sensible && budget.allows()) admit(now, p);
+        boolean sensible = now < waiting.lastUseful(p, requests.size()) && budget.allows() && !p.spent;
+        if (sensible && p.mayRepeat() && p.attempts.size() < settings.limits().attempts()) admit(now, p);
         else end(now, p, whyNot(now, p));
     }
 
@@ -263,7 +259,8 @@
     private Reason whyNot(long now, Pending p) {
         if (p.spent || !p.mayRepeat()) return Reason.EFFECT;
         if (p.attempts.size() >= settings.limits().attempts()) return Reason.ATTEMPTS;
-        return now >= lastUseful(p) || budget.allows() ? Reason.TOO_LATE : Reason.RETRY_BUDGET;
+        boolean late = now >= waiting.lastUseful(p, requests.size()) || budget.allows();
+        return late ? Reason.TOO_LATE : Reason.RETRY_BUDGET;
     }
 
     // ---- Other events
@@ -321,8 +318,9 @@
         if (kind == ASK) actions.subscribe();
         Pending p = timers.remove(token);
         if (p == null || p.over || p.streaming) return;
-        if (p.queued && (now >= lastUseful(p) || health.anyZoneFull())) {
-            end(now, p, now >= lastUseful(p) ? Reason.WAITED : Reason.ZONE_FULL);
+        boolean waited = now >= waiting.lastUseful(p, requests.size());
+        if (p.queued && (waited || health.anyZoneFull())) {
+            end(now, p, waited ? Reason.WAITED : Reason.ZONE_FULL);
         } else if (p.queued) {
             later(waiting.lookAgain(now, p, requests.size()), HELD, p);
             pump(now);
--- a/sidecar/src/main/java/sagefall/LoadBalancer.java
+++ b/sidecar/src/main/java/sagefall/LoadBalancer.java
@@ -132,7 +132,13 @@
 
     /** What the balancer may do, in the order in which it asks for it. */
     interface Actions {
-        void send(String requestId, long server, long timeoutMicros);
+        /**
+         * Sends an attempt, which is given up after the timeout; 0 for as long as the client waits.
+         *
+         * @param latestMicros from when on its first byte may not go out any more, since its effect could
+         *     come twice then; {@link Long#MAX_VALUE} where any time is right
+         */
+        void send(String requestId, long server, long timeoutMicros, long latestMicros);
 
         void refuse(String requestId, long retryAfterMicros, Reason why);
 
--- a/sidecar/src/main/java/sagefall/Pending.java
+++ b/sidecar/src/main/java/sagefall/Pending.java
@@ -63,7 +63,7 @@
 
     boolean mayRefuse() {
         boolean dropped = rules.effect() == Effect.KEYED && rules.group() == LoadBalancer.Group.ALL;
-        return rules.effect() == Effect.SAFE || dropped || mayHaveRun() == null;
+        return dropped || rules.effect() == Effect.SAFE || mayHaveRun() == null;
     }
 
     /** Whether a further attempt could be allowed by its effect at all. */
@@ -71,14 +71,19 @@
         return mayRefuse() || rules.effect() == Effect.KEYED;
     }
 
+    /** From when on nothing more of a keyed request may be sent, once it may have run. */
+    long lastSend(long tickMicros) {
+        Attempt first = mayHaveRun();
+        if (first == null || rules.effect() != Effect.KEYED) return Long.MAX_VALUE;
+        return first.sentAt + rules.dedupWindowMicros() - tickMicros;
+    }
+
     /** Rule on effects: whether an attempt of this request may go to this server; never to one twice. */
     boolean mayRunOn(long now, Backend b, long tickMicros) {
         for (Attempt a : attempts) if (a.server == b) return false;
         Attempt first = mayHaveRun();
         if (first == null || rules.effect() == Effect.SAFE) return true;
-        if (rules.effect() == Effect.UNSAFE || now - first.sentAt >= rules.dedupWindowMicros() - tickMicros) {
-            return false;
-        }
+        if (rules.effect() == Effect.UNSAFE || now >= lastSend(tickMicros)) return false;
         return switch (rules.group()) {
             case ALL -> true;
             case ZONE -> first.server.line.zone() == b.line.zone();
--- a/sidecar/src/main/java/sagefall/Waiting.java
+++ b/sidecar/src/main/java/sagefall/Waiting.java
@@ -6,7 +6,7 @@
 record Waiting(LoadBalancer.Settings settings, Admission admission, Health health, List<Pending> held) {
 
     /** Part of its time for which a request is held at most; part of an aim after which it is looked at. */
-    private static final double HOLD = 0.45, HELD_LOOK = 0.125;
+    private static final double HOLD = 0.45, LOOK = 0.125;
 
     void add(Pending p) {
         p.queued = true;
@@ -37,8 +37,7 @@
 
     /** When a held request is looked at again. */
     long lookAgain(long now, Pending p, int inHand) {
-        long soon = now + (long) (health.aimMicros * HELD_LOOK);
-        return Math.max(now + 1, Math.min(lastUseful(p, inHand), soon));
+        return Math.max(now + 1, Math.min(lastUseful(p, inHand), now + (long) (health.aimMicros * LOOK)));
     }
 
     /**
--- a/sidecar/src/main/java/sagefall/sidecar/Call.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Call.java
@@ -19,6 +19,11 @@
 
     /** The connection that waits for the answer. */
     interface Client {
+        /** Whether it still waits, seen with all that has come from it so far, its end among it. */
+        default boolean waits() {
+            return true;
+        }
+
         /** Takes the content over. */
         void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content);
 
@@ -91,6 +96,8 @@
         /** From when its time counts: its sending, of an upload the last byte of it. */
         long since;
         long giveUpAt;
+        /** From when on its first byte may not go out any more. */
+        long latestAt = Long.MAX_VALUE;
         /** How long the module waits for it; 0 for as long as the client does. */
         long patienceMicros;
         /** The last byte of the request has left, so from here on it may have run. */
--- a/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
@@ -651,6 +651,18 @@
                 }
             }
 
+            /** Of an upload the end is not sought: reading it is its flow's. */
+            @Override
+            public boolean waits() {
+                if (client == this && upload == null) {
+                    Link.readNow(channel);
+                    if (!channel.isActive()) {
+                        giveUp();
+                    }
+                }
+                return client == this;
+            }
+
             @Override
             public void begin(HttpHeaders headers, long length, Streaming limits, Flow.Source source) {
                 if (client != this) {
--- a/sidecar/src/main/java/sagefall/sidecar/Config.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Config.java
@@ -13,7 +13,7 @@
 
 /** What one sidecar is told at its start. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
-        Settings settings, long connectMicros, long drainGraceMicros, ServerList known,
+        Settings settings, long connectMicros, ServerList known,
         ServerList.Reader lists, Extensions extensions) {
 
     /**
@@ -41,8 +41,8 @@
     }
 
     private Config with(Extensions others) {
-        return new Config(name, listen, discovery, sockets, settings, connectMicros, drainGraceMicros, known,
-                lists, others);
+        return new Config(name, listen, discovery, sockets, settings, connectMicros, known, lists,
+                others);
     }
 
     /** The same with other servers, which nothing has to be asked for, other descriptors, no extensions. */
@@ -51,8 +51,8 @@
         Settings pushed = new Settings(s.seed(), s.rank(), s.replicas(), s.zone(), s.zones(), s.classes(),
                 s.tenants(), s.overShareWorth(), s.limits(), s.rules(), s.reports(), false,
                 s.warmKeys(), s.tickMicros());
-        return new Config(name, listen, discovery, otherSockets, pushed, connectMicros, drainGraceMicros,
-                servers, lists, Extensions.NONE);
+        return new Config(name, listen, discovery, otherSockets, pushed, connectMicros, servers, lists,
+                Extensions.NONE);
     }
 
     private static Config of(Map<?, ?> c, Map<String, String> environment) throws IOException {
@@ -73,9 +73,7 @@
         InetSocketAddress discovery = Addresses.parse(text(c, "discovery", environment.get("LB_DISCOVERY")));
         Settings settings = within(SettingsReader.read(seed(c), facts), sockets);
         return new Config(name, listen, discovery, sockets, settings,
-                Json.whole(limits, "connect_timeout_us", 250_000),
-                Json.whole(Json.object(facts, "rules"), "drain_grace_us", 0), known, lists,
-                Extensions.NONE);
+                Json.whole(limits, "connect_timeout_us", 250_000), known, lists, Extensions.NONE);
     }
 
     /**
--- a/sidecar/src/main/java/sagefall/sidecar/ServerPool.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ServerPool.java
@@ -44,6 +44,14 @@
     interface Listener {
         void ended(Attempt attempt, Result result, LoadReport report, FullHttpResponse answer);
 
+        /**
+         * The last look before its first byte: takes in what has come and not been read yet, lists too.
+         * Whether anybody still waits for it.
+         */
+        default boolean wanted(Attempt attempt) {
+            return true;
+        }
+
         /** The last byte of an upload has left. */
         default void written(Attempt attempt) { }
 
@@ -70,7 +78,6 @@
     private final Listener listener;
     private final int most;
     private final long connectMicros;
-    private final long drainGraceMicros;
     private final long idleMicros;
     private boolean streams;
     private final Map<Long, Node> nodes = new HashMap<>();
@@ -81,8 +88,8 @@
     private static final class Node {
         final InetSocketAddress address;
         Server line;
-        /** When the sidecar was told that it drains or is gone; 0 while it is in service. */
-        long leavingSince;
+        /** It drains or is gone. */
+        boolean leaving;
         /** Not on the list any more: nothing new goes to it, and it is forgotten with its connections. */
         boolean gone;
         /** Connections of any state. */
@@ -106,7 +113,6 @@
         this.listener = listener;
         most = config.serverConnections();
         connectMicros = config.connectMicros();
-        drainGraceMicros = config.drainGraceMicros();
         idleMicros = config.settings().limits().idleMicros();
         streams = config.extensions().streaming().isOn();
         long sweep = Math.max(1, Math.min(1_000_000, idleMicros / 10));
@@ -123,14 +129,13 @@
 
     /** Takes over what discovery says of the servers. */
     void update(ServerList list) {
-        long now = clock.micros();
         Set<Long> named = new HashSet<>();
         for (ServerList.Entry entry : list.entries()) {
             Server line = entry.server();
             named.add(line.id());
             Node node = nodes.get(line.id());
             if (node != null && !node.isFor(entry)) {
-                leave(node, now);
+                leave(node);
                 node.gone = true;
                 node = null;
             }
@@ -141,15 +146,15 @@
             node.line = line;
             node.gone = line.phase() == Phase.REMOVED;
             if (line.phase() == Phase.READY) {
-                node.leavingSince = 0;
+                node.leaving = false;
             } else {
-                leave(node, now);
+                leave(node);
             }
         }
         if (list.complete()) {
             for (Map.Entry<Long, Node> node : nodes.entrySet()) {
                 if (!named.contains(node.getKey())) {
-                    leave(node.getValue(), now);
+                    leave(node.getValue());
                     node.getValue().gone = true;
                 }
             }
@@ -157,22 +162,22 @@
         nodes.values().removeIf(n -> n.gone && n.connections == 0);
     }
 
-    private static void leave(Node node, long now) {
-        if (node.leavingSince == 0) {
-            node.leavingSince = now;
+    private static void leave(Node node) {
+        if (!node.leaving) {
+            node.leaving = true;
             closeIdle(node);
         }
     }
 
     /** Whether any server is in service. */
     boolean anyReady() {
-        return nodes.values().stream().anyMatch(n -> n.leavingSince == 0);
+        return nodes.values().stream().anyMatch(n -> !n.leaving);
     }
 
     /** Sends an attempt on the connection used last, or on a new one. */
     void start(Attempt attempt) {
         Node node = nodes.get(attempt.server);
-        if (node == null || node.gone) {
+        if (node == null || node.leaving) {
             end(attempt, Result.NOT_SENT, null, null);
             return;
         }
@@ -294,13 +299,19 @@
 
         /**
          * The last look before the first byte: a connection may have outlived the decision that asked for it,
-         * and by now the request be over, its time used up, or the server past its drain grace.
+         * and by now the request be over, its client gone, its time or its window used up, or the server on
+         * its way out. How long ago that was told is not known where the loop is late, so no grace is used.
          */
         void write() {
+            Attempt asked = attempt;
+            boolean wanted = listener.wanted(asked);
+            if (attempt != asked) {
+                // Its client is gone: it was called off by that very look.
+                return;
+            }
             long now = clock.micros();
-            boolean late = node.gone
-                    || node.leavingSince != 0 && now - node.leavingSince >= drainGraceMicros;
-            if (attempt.call.over || now >= attempt.giveUpAt || late) {
+            boolean late = now >= Math.min(attempt.giveUpAt, attempt.latestAt);
+            if (!wanted || attempt.call.over || late || node.leaving) {
                 Attempt unsent = attempt;
                 rest();
                 end(unsent, Result.NOT_SENT, null, null);
@@ -351,7 +362,7 @@
         /** Becomes idle, or closes where it will not be used again. */
         private void rest() {
             attempt = null;
-            if (node.leavingSince != 0) {
+            if (node.leaving) {
                 link.close();
             } else {
                 idleSince = clock.micros();
--- a/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
@@ -73,6 +73,8 @@
     private static final long REHEARSAL_MILLIS = 1_500;
     /** After the rehearsal, beside which the folder was read: a disk that is stalled keeps nobody longer. */
     private static final long OPENED_MILLIS = 250;
+    /** From one look at what discovery has written to the next, beside those that the loop takes. */
+    private static final long LOOK_MICROS = 20_000;
 
     private final EventLoop loop;
     private final PrintStream log;
@@ -368,6 +370,9 @@
      * not reach the module inside the very call that asked for it. An exception costs its own request only.
      */
     private void tell(Call about, Told told) {
+        if (!inModule) {
+            look();
+        }
         events.addLast(new Event(about, told));
         if (inModule) {
             return;
@@ -382,6 +387,24 @@
         }
     }
 
+    /**
+     * A list that is there counts as told, also where the loop is late and a request, an answer or a timer
+     * would have its turn first: so it is read before the module decides.
+     */
+    private void look() {
+        long now = clock.micros();
+        if (now - lookedAt >= LOOK_MICROS) {
+            lookedAt = now;
+            discovery.catchUp();
+        }
+    }
+
+    @Override
+    public boolean wanted(Attempt attempt) {
+        look();
+        return attempt.call.client.waits();
+    }
+
     private void tell(Event e) {
         try {
             e.told.tell(clock.micros());
@@ -605,7 +628,7 @@
     // ---- Actions of the module
 
     @Override
-    public void send(String requestId, long server, long timeoutMicros) {
+    public void send(String requestId, long server, long timeoutMicros, long latestMicros) {
         Call call = calls.get(requestId);
         if (call == null) {
             return;
@@ -614,6 +637,7 @@
         long giveUpAt = giveUpAt(call, now, timeoutMicros);
         Attempt attempt = new Attempt(call, server, now, giveUpAt);
         attempt.patienceMicros = timeoutMicros;
+        attempt.latestAt = latestMicros;
         call.attempts.add(attempt);
         call.out++;
         if (call.upload == null || call.upload.whole()) {
--- a/sidecar/src/main/java/sagefall/simhost/Replies.java
+++ b/sidecar/src/main/java/sagefall/simhost/Replies.java
@@ -74,7 +74,7 @@
     }
 
     @Override
-    public void send(String requestId, long server, long timeoutMicros) {
+    public void send(String requestId, long server, long timeoutMicros, long latestMicros) {
         action("Place", () -> {
             out.writeStringField("ticket", requestId);
             out.writeNumberField("server", server);
--- a/sidecar/src/test/java/sagefall/RulesTest.java
+++ b/sidecar/src/test/java/sagefall/RulesTest.java
@@ -60,6 +60,39 @@
         }
     }
 
+    /** A connection may come up late, so the end of the window goes with the attempt. */
+    @ParameterizedTest
+    @EnumSource
+    void furtherAttemptCarriesTheEndOfItsWindow(Effect effect) {
+        Recorder r = new Recorder(Recorder.settings(effect, Group.ALL), 6);
+        r.request("x");
+        long first = r.now;
+        r.answer(0, Result.NO_CONNECTION, 1000, false);
+        assertEquals(Long.MAX_VALUE, r.sent.get(0).latest());
+        assertEquals(Long.MAX_VALUE, r.sent.get(1).latest());
+        r.answer(1, Result.ERROR, 1000, false);
+        if (effect == Effect.KEYED) {
+            assertEquals(first + 1000 + 500_000 - 1000, r.sent.get(2).latest());
+        } else if (effect == Effect.SAFE) {
+            assertEquals(Long.MAX_VALUE, r.sent.get(2).latest());
+        } else {
+            assertEquals(2, r.sent.size());
+        }
+    }
+
+    /** What an agent of the own machine has counts as told: it is asked soon, however often it failed. */
+    @Test
+    void agentIsAskedAgainSoon() {
+        Recorder r = new Recorder(Recorder.settings(Effect.SAFE, Group.ALL), 4);
+        for (int i = 0; i < 8; i++) {
+            r.timers.clear();
+            r.choice.servers(r.now, ListKind.FAILED, List.of());
+            assertEquals(1, r.timers.size());
+            long wait = r.timers.get(0)[0] - r.now;
+            assertTrue(wait > 0 && wait <= 150_001, "waits " + wait);
+        }
+    }
+
     @Test
     void nothingNewToADrainingServer() {
         Recorder r = new Recorder(Recorder.settings(Effect.SAFE, Group.ALL), 4);
--- a/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
@@ -139,4 +139,141 @@
         Harness harness = harness(server(Stub.serves("known"))).pushed().start();
         assertEquals("known", harness.client().search(2_000).answer().body());
     }
+
+    /** A module that decides nothing: the test sees what it is told, and acts in its place. */
+    private static final class Scripted extends QuietModule {
+        final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        final Actions actions;
+
+        Scripted(Actions actions) {
+            this.actions = actions;
+        }
+
+        String next() throws InterruptedException {
+            return String.valueOf(told.poll(10, TimeUnit.SECONDS));
+        }
+
+        @Override
+        public void servers(long nowMicros, ListKind kind, List<LoadBalancer.Server> list) {
+            told.add("list of " + list.size());
+        }
+
+        @Override
+        public void request(long nowMicros, LoadBalancer.Request request) {
+            told.add(request.id());
+        }
+
+        @Override
+        public void outcome(long nowMicros, LoadBalancer.Outcome outcome) {
+            told.add(outcome.result().toString());
+        }
+
+        void send(String id, Stub server) {
+            actions.send(id, Ids.of("s-" + server.port()), 0, Long.MAX_VALUE);
+        }
+    }
+
+    private static Scripted scripted(Harness harness) throws Exception {
+        AtomicReference<Scripted> module = new AtomicReference<>();
+        CompletableFuture<InetSocketAddress> started = harness.begin((settings, actions) -> {
+            module.set(new Scripted(actions));
+            return module.get();
+        });
+        harness.discovery.take().reply("200 OK", "", Harness.json(Harness.NOTHING_NEW));
+        harness.address = started.get(10, TimeUnit.SECONDS);
+        assertEquals("list of 1", module.get().next());
+        assertEquals("list of 0", module.get().next());
+        return module.get();
+    }
+
+    private static void take(Sidecar sidecar) {
+        FullHttpRequest http = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/search/k");
+        http.headers().set(Headers.REQUEST_ID, "crossing").set(Headers.TENANT, "acme")
+                .set(Headers.TIMEOUT, "5000");
+        try {
+            sidecar.take(http, (status, headers, content) -> content.release());
+        } catch (RequestReader.BadRequest e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A request that had its turn first after a stall went to a server told to drain meanwhile. */
+    @Test
+    void listThatCameDuringAStallGoesBeforeTheRequest() throws Exception {
+        Harness harness = harness(server(Stub.SILENT)).pushed();
+        Scripted module = scripted(harness);
+        Stub.Seen watch = harness.discovery.take();
+        harness.whileStalled(() -> {
+            watch.reply("200 OK", "", Harness.json(Harness.NOTHING_NEW));
+            return null;
+        }, () -> {
+            stall(25);
+            take(harness.sidecar);
+        });
+        assertEquals("list of 0", module.next());
+        assertEquals("crossing", module.next());
+    }
+
+    // ---- Clients that leave
+
+    private enum Leaving {
+        CLOSES, RESETS, ENDS_SENDING;
+
+        void by(Socket socket) throws IOException {
+            if (this == ENDS_SENDING) {
+                socket.shutdownOutput();
+                return;
+            }
+            socket.setSoLinger(this == RESETS, 0);
+            socket.close();
+        }
+    }
+
+    /** Until a connection that has brought an answer is used again, so that a request goes out at once. */
+    private static void settle(Harness harness) throws Exception {
+        harness.loop.schedule(() -> { }, 2 * ServerPool.SETTLE_MICROS, TimeUnit.MICROSECONDS).get();
+    }
+
+    /** Bytes and end of a request came together, or the end before it was accepted: it was sent on. */
+    @ParameterizedTest
+    @EnumSource
+    void requestWhoseClientHasLeftIsNotSentOn(Leaving leaving) throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = harness(server).start();
+        assertEquals("ok", harness.client().book("warm", 5_000).answer().body());
+        settle(harness);
+        harness.whileStalled(() -> {
+            for (int i = 0; i < 20; i++) {
+                leaving.by(harness.client().book("left", 5_000).socket);
+            }
+            return null;
+        }, () -> { });
+        // Accepted after them, and so read after them.
+        assertEquals("ok", harness.client().book("stays", 5_000).answer().body());
+        assertEquals(List.of("warm", "stays"),
+                server.seen.stream().map(seen -> seen.request().body()).toList());
+    }
+
+    /** The same for one that was held while the loop was slow: its client is looked at before it goes out. */
+    @ParameterizedTest
+    @EnumSource
+    void heldRequestWhoseClientLeavesDuringAStallIsNotSentOn(Leaving leaving) throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = harness(server).pushed();
+        Scripted module = scripted(harness);
+        Harness.Client warm = harness.client().book("warm", 20_000);
+        String first = module.next();
+        harness.loop.execute(() -> module.send(first, server));
+        assertEquals("SERVED", module.next());
+        assertEquals("ok", warm.answer().body());
+        settle(harness);
+        Harness.Client client = harness.client().book("left", 20_000);
+        String id = module.next();
+        harness.whileStalled(() -> {
+            leaving.by(client.socket);
+            return null;
+        }, () -> module.send(id, server));
+        assertEquals("NOT_SENT", module.next());
+        assertEquals(1, server.seen.size());
+    }
 }
