An answer without a length is whole when the server says its end, and not after a reset

Cause, seen by reading. Link took an answer that only the end of the connection bounds for none, whether the server had ended its sending (whole, RFC 9112 6.3) or the connection was reset (not whole): with Netty's default both close the channel before the decoder tells the body's end, and Answers.collected throws away what comes on a closed channel.

Connections to servers allow half-closure: at the server's end the decoder tells the body while the channel is still up, and the link closes after it. A reset still ends in exceptionCaught before that. Nothing more goes over such a connection, and the bound on bodies holds as before.

Tests: answerWithoutALengthEndsWithTheConnection fails without the option; resetIsNoEnd fails where a reset is handled like an end; answerWithoutALengthIsBoundedToo.

--- a/sidecar/src/main/java/sagefall/sidecar/Link.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Link.java
@@ -12,6 +12,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -131,6 +133,8 @@
         }
         ChannelFuture connecting = bootstrap.group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Else an end that the server said and a reset would look alike.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectMicros / 1000))
                 .handler(new ChannelInitializer<>() {
                     @Override
@@ -335,8 +339,9 @@
                 return;
             } else if (answer.decoderResult().isFailure() || !channel.isActive()
                     || answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                // A body that only the end of the connection bounds may be cut short by a dying server: on a
-                // closed channel an answer is not known to be whole. After a change of protocol none comes.
+                // A body that only the end of the connection bounds is whole where the server has said that
+                // end (RFC 9112, 6.3); on a closed channel, as after a reset, that is not known. After a
+                // change of protocol no answer comes.
                 context.close();
             } else {
                 whole = answer.retain();
@@ -352,13 +357,13 @@
                 HttpHeaders last = trailers;
                 trailers = null;
                 asked = false;
-                owner.finished(last, !more && decoder.isEmpty() && channel.isActive());
+                owner.finished(last, clean());
             } else if (whole != null) {
                 FullHttpResponse answer = whole;
                 whole = null;
                 asked = false;
                 try {
-                    owner.answered(answer, !more && decoder.isEmpty() && channel.isActive());
+                    owner.answered(answer, clean());
                 } finally {
                     answer.release();
                 }
@@ -366,6 +371,19 @@
             context.fireChannelReadComplete();
         }
 
+        private boolean clean() {
+            return !more && decoder.isEmpty() && channel.isActive()
+                    && !((SocketChannel) channel).isInputShutdown();
+        }
+
+        /** The server has said that nothing more comes; an answer that this end makes whole has been told. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                context.close();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             more = true;
--- a/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
@@ -276,4 +276,52 @@
         assertEquals("NOT_SENT", module.next());
         assertEquals(1, server.seen.size());
     }
+
+    // ---- Answers that end with the connection
+
+    /** Without a length the end of the server's sending is that of the answer (RFC 9112, 6.3). */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5, Link.MAX_BODY})
+    void answerWithoutALengthEndsWithTheConnection(int length) throws Exception {
+        String body = "x".repeat(length);
+        Stub server = server(seen -> {
+            seen.raw("HTTP/1.1 200 OK\r\n\r\n" + body);
+            seen.socket().close();
+        });
+        Harness harness = harness(server).start();
+        for (int i = 0; i < 2; i++) {
+            Http.Message answer = harness.client().book("x", 5_000).answer();
+            assertEquals(200, answer.status());
+            assertEquals(body, answer.body());
+        }
+        assertEquals(2, server.accepted.get());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5, Link.MAX_BODY})
+    void resetIsNoEnd(int length) throws Exception {
+        BlockingQueue<Stub.Seen> written = new LinkedBlockingQueue<>();
+        Stub server = server(seen -> {
+            seen.raw("HTTP/1.1 200 OK\r\n\r\n" + "x".repeat(length));
+            written.add(seen);
+        });
+        Harness harness = harness(server).start();
+        Harness.Client client = harness.client().book("x", 5_000);
+        Stub.Seen seen = written.poll(10, TimeUnit.SECONDS);
+        // What was written is read in this turn or an earlier one, so the reset comes behind it.
+        harness.loop.submit(() -> { }).get();
+        seen.socket().setSoLinger(true, 0);
+        seen.socket().close();
+        assertEquals(502, client.answer().status());
+        assertEquals(1, server.seen.size());
+    }
+
+    @Test
+    void answerWithoutALengthIsBoundedToo() throws Exception {
+        Stub server = server(seen -> {
+            seen.raw("HTTP/1.1 200 OK\r\n\r\n" + "x".repeat(Link.MAX_BODY + 1));
+            seen.socket().close();
+        });
+        assertEquals(502, harness(server).start().client().book("x", 5_000).answer().status());
+    }
 }
