Resting connections are half-closed and read out, and nothing that has come is closed over

Cause, seen by reading and each forced in a test. ClientServer.endQuiet, closeSurplus, makeRoom and the idle times closed connections that looked quiet: a request on its way was answered by a reset, which also takes what the client has not read yet; a request that lay in the socket already was closed over; one that had come in part counted as quiet; and the listening socket closed in the same moment, with whoever waited in its queue.

What rests is read first; if it still rests its output is shut, and what crosses that is read and dropped until the client closes too or is quiet for 300 ms (RFC 9112, 9.6). A request that has come in part keeps its time. The listening socket takes what waits before it closes, and closes 100 ms after the last client came or was sent away, 1.5 s after SIGTERM at the latest. Room past the bound is still made by a close, but of what was read out first. What is on its way out no longer counts as surplus.

Tests: restingClientIsToldTheEndAndNotReset, requestThatHasComeBeforeTheEndIsAnswered, requestThatHasComeInPartGetsItsTime and whoWaitsToBeAcceptedAtTheEndIsAnswered fail without their piece (mutants).

--- a/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
@@ -99,6 +99,8 @@
     private static final long LINGER_QUIET_MILLIS = 300;
     /** How long new connections go on coming after the end was announced. */
     private static final long ACCEPT_MILLIS = 400;
+    /** The same at the most, whoever goes on coming. */
+    private static final long LAST_ACCEPT_MILLIS = 1_500;
     /** A new connection has this long to bring its request; as long nothing new may come before the end. */
     private static final long QUIET_MILLIS = 100;
     private static final long SWEEP_MILLIS = 25;
@@ -116,6 +118,7 @@
     private Streaming streaming = Streaming.OFF;
     private final Buffers buffers = new Buffers();
     private long acceptedAt = System.nanoTime();
+    private long retiredAt = acceptedAt;
 
     ClientServer(EventLoop loop, Service service, int most, Consumer<String> log) {
         this.loop = loop;
@@ -187,11 +190,14 @@
         if (millisSince(endedAt) >= streaming.drainMillis()) {
             List.copyOf(connections).forEach(Connection::cutShort);
         }
-        List.copyOf(connections).stream()
-                .filter(c -> c.client == null && !c.writing && c.age() > QUIET_MILLIS)
-                .forEach(c -> c.channel.close());
-        if (millisSince(acceptedAt) > QUIET_MILLIS) {
-            listening.close();
+        List.copyOf(connections).stream().filter(c -> c.age() > QUIET_MILLIS).forEach(Connection::retire);
+        if (listening.isOpen() && quiet()) {
+            // What waits to be accepted would be reset with the socket.
+            listening.config().setAutoRead(true);
+            Link.readNow(listening);
+            if (quiet()) {
+                listening.close();
+            }
         }
         if (!listening.isOpen() && connections.isEmpty()) {
             ended.run();
@@ -200,6 +206,12 @@
         }
     }
 
+    /** Nobody has come for a while, nor been sent away, who would come again. */
+    private boolean quiet() {
+        return millisSince(Math.max(acceptedAt, retiredAt)) > QUIET_MILLIS
+                || millisSince(endedAt) > LAST_ACCEPT_MILLIS;
+    }
+
     private static long millisSince(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
     }
@@ -220,11 +232,14 @@
      * in clients and floods of them too. Harm: a client that asks less often connects anew.
      */
     private void closeSurplus() {
-        int surplus = connections.size() - most / 2;
+        long surplus = connections.size() - most / 2;
+        if (surplus > 0) {
+            surplus -= connections.stream().filter(c -> c.deaf).count();
+        }
         if (surplus > 0) {
             connections.stream().filter(c -> c.idleMillis() > SURPLUS_MILLIS)
                     .sorted(Comparator.comparingLong(Connection::idleMillis).reversed()).limit(surplus)
-                    .toList().forEach(c -> c.channel.close());
+                    .toList().forEach(Connection::retire);
         }
     }
 
@@ -241,18 +256,17 @@
      */
     private void makeRoom() {
         Connection victim = null;
-        if (connections.size() >= most) {
+        boolean room = connections.size() < most;
+        if (!room) {
             for (Connection c : connections) {
                 if (c.spare() > (victim == null ? 0 : victim.spare())) {
                     victim = c;
                 }
             }
-            if (victim != null) {
-                victim.channel.close();
-            }
+            room = victim != null && victim.makeWay();
         }
         accepts.maxMessagesPerRead(Math.max(1, Math.min(ACCEPTS, most - connections.size())));
-        listening.config().setAutoRead(victim != null || connections.size() < most);
+        listening.config().setAutoRead(room);
     }
 
     /** Shows whether it holds a part of a further message. */
@@ -339,8 +353,9 @@
         private long heardAt;
         private boolean writing;
         private long answeredAt;
-        /** Nothing that comes counts any more. */
+        /** Nothing that comes counts any more; since when its output is shut, too. */
         private boolean deaf;
+        private long deafSince;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -396,17 +411,16 @@
         private void checkTimes() {
             if (client != null) {
                 client.checkStalls();
-                return;
-            }
-            if (writing) {
+            } else if (writing) {
                 closeAfter(answeredAt, WRITE_MILLIS);
             } else if (deaf) {
-                closeAfter(answeredAt, LINGER_MILLIS);
-                closeAfter(Math.max(heardAt, answeredAt), LINGER_QUIET_MILLIS);
-            } else if (!awaited) {
-                closeAfter(answeredAt, IDLE_MILLIS);
-            } else if (heardAt == 0) {
-                closeAfter(awaitedSince, REQUEST_MILLIS);
+                closeAfter(deafSince, LINGER_MILLIS);
+                closeAfter(Math.max(heardAt, deafSince), LINGER_QUIET_MILLIS);
+            } else if (rests()) {
+                long quiet = awaited ? age() - REQUEST_MILLIS : millisSince(answeredAt) - IDLE_MILLIS;
+                if (quiet > 0) {
+                    retire();
+                }
             } else if (millisSince(awaitedSince) > REQUEST_MILLIS) {
                 reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole in time");
             }
@@ -418,6 +432,46 @@
             }
         }
 
+        /** Nothing of a request has come since the last answer, or at all. */
+        private boolean rests() {
+            return client == null && !writing && !deaf && (!awaited || heardAt == 0);
+        }
+
+        /** Whether it rests, seen with all that has come so far. */
+        private boolean stillRests() {
+            if (rests()) {
+                Link.readNow(channel);
+            }
+            return rests() && channel.isActive();
+        }
+
+        /**
+         * Ends a connection that rests, as HTTP/1.1 asks (RFC 9112, 9.6): says so, then reads until the
+         * client has closed too. A request that crosses this is not taken, and its client can tell; a close
+         * over its unread bytes would be a reset.
+         */
+        private void retire() {
+            if (stillRests()) {
+                retiredAt = System.nanoTime();
+                endOutput();
+            }
+        }
+
+        private void endOutput() {
+            deaf = true;
+            deafSince = System.nanoTime();
+            ((SocketChannel) channel).shutdownOutput();
+        }
+
+        /** Ends it at once, since its descriptor is wanted, but where a request has come; whether it has. */
+        private boolean makeWay() {
+            boolean spared = deaf || stillRests();
+            if (spared) {
+                channel.close();
+            }
+            return spared || !channel.isActive();
+        }
+
         /** How well this connection can be spared, by its kind and then by time; 0 where it can't. */
         private double spare() {
             if (client != null || writing || age() <= QUIET_MILLIS) {
@@ -769,7 +823,7 @@
                 if (!whole) {
                     channel.close();
                 } else if (deaf) {
-                    ((SocketChannel) channel).shutdownOutput();
+                    endOutput();
                 }
             }
         }
--- a/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
@@ -324,4 +324,91 @@
         });
         assertEquals(502, harness(server).start().client().book("x", 5_000).answer().status());
     }
+
+    // ---- The end
+
+    /** Closed at once, it was reset by a request on its way, and the reset took what was unread. */
+    @Test
+    void restingClientIsToldTheEndAndNotReset() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = harness(server).start();
+        Harness.Client client = harness.client();
+        assertEquals("ok", client.search(5_000).answer().body());
+        server.take();
+        CountDownLatch ended = harness.stop();
+        client.assertClosed();
+        client.search(5_000).search(5_000);
+        // Read and thrown away by now, since this comes behind it on the same loop.
+        client.assertClosed();
+        client.socket.shutdownOutput();
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+        assertTrue(server.seen.isEmpty());
+    }
+
+    /**
+     * Lets peers act in the moment between a turn's reading and the end of accepting: both that act and that
+     * end are due when a long turn is over, and so stand one behind the other in the next.
+     */
+    private static CountDownLatch stopAndCross(Harness harness, Callable<?> peers) throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        harness.loop.submit(() -> {
+            harness.sidecar.stop(ended::countDown);
+            harness.loop.schedule(peers, 380, TimeUnit.MILLISECONDS);
+            stall(450);
+        }).get();
+        return ended;
+    }
+
+    /** A request was in the socket already when its connection, quiet until then, was closed for the end. */
+    @Test
+    void requestThatHasComeBeforeTheEndIsAnswered() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = harness(server).start();
+        Harness.Client client = harness.client();
+        assertEquals("ok", client.search(5_000).answer().body());
+        CountDownLatch ended = stopAndCross(harness, () -> client.search(5_000));
+        Http.Message answer = client.answer();
+        assertEquals("ok", answer.body());
+        assertEquals("close", answer.headers().get("Connection"));
+        client.assertClosed();
+        client.close();
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+
+    /** One that had come in part counted as quiet, and was closed. */
+    @Test
+    void requestThatHasComeInPartGetsItsTime() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = harness(server).start();
+        Harness.Client resting = harness.client();
+        assertEquals("ok", resting.search(5_000).answer().body());
+        String request = Harness.Client.head("GET", "/search/k", 5_000, "", 0);
+        Harness.Client client = harness.client();
+        assertEquals("ok", client.search(5_000).answer().body());
+        client.raw(request.substring(0, 40));
+        harness.stop();
+        resting.assertClosed();
+        assertEquals("ok", client.raw(request.substring(40)).answer().body());
+        client.assertClosed();
+    }
+
+    /** Who waits in the queue of the listening socket when it closes would be reset. */
+    @Test
+    void whoWaitsToBeAcceptedAtTheEndIsAnswered() throws Exception {
+        Stub server = server(Stub.serves("ok"));
+        Harness harness = harness(server).start();
+        BlockingQueue<Harness.Client> late = new LinkedBlockingQueue<>();
+        CountDownLatch ended = stopAndCross(harness, () -> {
+            for (int i = 0; i < 5; i++) {
+                late.add(harness.client().search(5_000));
+            }
+            return null;
+        });
+        for (int i = 0; i < 5; i++) {
+            try (Harness.Client client = late.poll(10, TimeUnit.SECONDS)) {
+                assertEquals("ok", client.answer().body());
+            }
+        }
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
 }
