A list behind the one that told of a drain does not end it; SIGHUP at the start waits for the first list

Cause, seen by reading. (1) Choice.servers took READY from any list, so a replica of discovery that is behind (a lower revision, as after SIGHUP or a connection made anew) made a server ready again that was told to drain, with the same start time. Only what was kept over a restart was guarded (Belief). (2) Discovery.move asked at once also before Sidecar.open had handed out the first list, so after a SIGHUP during the rehearsal the configuration's list, which may be old, came behind discovery's and replaced it.

A server keeps the highest revision of the lists that named it; READY in one behind that does not make a server usable that is not. A new start time is a new process, as before; a higher revision may end a drain. Before the first call a move only notes the address.

--- a/lab/src/main/java/sagefall/lab/policy/Baseline.java
+++ b/lab/src/main/java/sagefall/lab/policy/Baseline.java
@@ -58,7 +58,7 @@
     void learn(long now, Known server, long micros, boolean served) { }
 
     @Override
-    public void servers(long now, ListKind kind, List<Server> list) {
+    public void servers(long now, ListKind kind, long revision, List<Server> list) {
         if (kind == ListKind.FAILED) {
             return;
         }
--- a/lab/src/main/java/sagefall/lab/policy/WirePolicy.java
+++ b/lab/src/main/java/sagefall/lab/policy/WirePolicy.java
@@ -134,7 +134,7 @@
         }
 
         @Override
-        public void servers(long now, ListKind kind, List<Server> list) {
+        public void servers(long now, ListKind kind, long revision, List<Server> list) {
             List<Map<String, Object>> rows = new ArrayList<>();
             for (Server s : list) {
                 Map<String, Object> row = new LinkedHashMap<>();
--- a/sidecar/src/main/java/sagefall/Backend.java
+++ b/sidecar/src/main/java/sagefall/Backend.java
@@ -10,6 +10,8 @@
 
     final long id;
     LoadBalancer.Server line;
+    /** Highest revision of the lists that named it; one that is behind it ends no drain. */
+    long revision = Long.MIN_VALUE;
     boolean usable, listed;
     /** Place in this instance's own stable order of servers. */
     final long order;
--- a/sidecar/src/main/java/sagefall/Choice.java
+++ b/sidecar/src/main/java/sagefall/Choice.java
@@ -65,12 +65,8 @@
     }
 
     @Override
-    public void servers(long now, ListKind kind, long revision, List<Server> list) {
-        servers(now, kind, belief.told(kind, revision, list));
-    }
-
-    @Override
-    public void servers(long now, ListKind kind, List<Server> list) {
+    public void servers(long now, ListKind kind, long revision, List<Server> told) {
+        List<Server> list = belief.told(kind, revision, told);
         if (settings.discoveryOnAsk() && kind == ListKind.CACHED) {
             // All sidecars of a fleet may start at once, and discovery sends only so many lines a second.
             double spread = Math.min(0.8, list.size() * (double) settings.replicas() / LIST_LINES);
@@ -92,7 +88,8 @@
         for (Server line : list) {
             Backend b = backends.get(line.id());
             if (b == null || b.line.startMicros() != line.startMicros()) b = anew(now, line.id(), b);
-            boolean usable = line.phase() == Phase.READY;
+            boolean usable = line.phase() == Phase.READY && (b.usable || revision >= b.revision);
+            b.revision = Math.max(b.revision, revision);
             changed |= usable != b.usable || b.line == null || b.line.zone() != line.zone();
             b.line = line;
             b.usable = usable;
--- a/sidecar/src/main/java/sagefall/LoadBalancer.java
+++ b/sidecar/src/main/java/sagefall/LoadBalancer.java
@@ -159,11 +159,12 @@
         void log(String line);
     }
 
-    void servers(long nowMicros, ListKind kind, List<Server> list);
+    /** A list with its revision: one of a lower revision than what was told before is behind that. */
+    void servers(long nowMicros, ListKind kind, long revision, List<Server> list);
 
-    /** The same with its revision: a list of a lower one than what was kept is behind it. */
-    default void servers(long nowMicros, ListKind kind, long revision, List<Server> list) {
-        servers(nowMicros, kind, list);
+    /** One that is behind nothing. */
+    default void servers(long nowMicros, ListKind kind, List<Server> list) {
+        servers(nowMicros, kind, Long.MAX_VALUE, list);
     }
 
     /**
--- a/sidecar/src/main/java/sagefall/sidecar/Discovery.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Discovery.java
@@ -73,6 +73,8 @@
 
     private InetSocketAddress address;
     private Peer peer;
+    /** It has been asked once; before that nothing is, as the first list has to come from elsewhere. */
+    private boolean begun;
     private boolean watching;
     private boolean closed;
     /** The next answer must be the whole list: the revision of another service says nothing. */
@@ -101,6 +103,7 @@
 
     /** Begins to watch; while the watch is on there is nothing to ask for. */
     void subscribe() {
+        begun = true;
         if (!watching) {
             watching = true;
             ask();
@@ -120,9 +123,11 @@
         address = to;
         whole = true;
         answering = false;
-        drop();
-        watching = true;
-        ask();
+        if (begun) {
+            drop();
+            watching = true;
+            ask();
+        }
     }
 
     void close() {
--- a/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
@@ -9,8 +9,10 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -124,9 +126,8 @@
         Stub staying = server(Stub.serves("staying"));
         Harness harness = harness(leaving, staying).pushed();
         CompletableFuture<InetSocketAddress> started = harness.begin(Choice::new);
-        Stub.Seen call = harness.discovery.take();
+        first(harness.discovery);
         assertFalse(started.isDone());
-        harness.discovery.seen.add(call);
         harness.tell(2, Harness.list(2, false, "terminating", leaving));
         harness.address = started.get(10, TimeUnit.SECONDS);
         for (int i = 0; i < 20; i++) {
@@ -140,6 +141,61 @@
         assertEquals("known", harness.client().search(2_000).answer().body());
     }
 
+    /** A replica that is behind, as after SIGHUP, turned a server ready again that was told to drain. */
+    @Test
+    void listThatIsBehindEndsNoDrain() throws Exception {
+        Stub leaving = server(Stub.serves("leaving"));
+        Stub staying = server(Stub.serves("staying"));
+        Harness harness = harness(leaving, staying).start();
+        harness.tell(5, Harness.list(5, false, "terminating", leaving));
+        harness.tell(3, Harness.list(3, true, "in_service", leaving, staying));
+        for (int i = 0; i < 20; i++) {
+            assertEquals("staying", harness.client().search(2_000).answer().body());
+        }
+        // One that is ahead does.
+        harness.tell(6, Harness.list(6, false, "terminating", staying));
+        harness.tell(7, Harness.list(7, false, "in_service", leaving));
+        assertEquals("leaving", harness.client().search(2_000).answer().body());
+    }
+
+    /** SIGHUP before the start was over: the first list, which may be old, came behind discovery's. */
+    @Test
+    void hangupDuringTheStartWaitsForTheFirstList() throws Exception {
+        Stub leaving = server(Stub.serves("leaving"));
+        Stub staying = server(Stub.serves("staying"));
+        Stub next = server(Stub.SILENT);
+        Harness harness = harness(leaving, staying).pushed();
+        Config config = harness.config();
+        harness.sidecar = harness.loop.submit(() -> new Sidecar(harness.loop, config,
+                new PrintStream(harness.log, true))).get();
+        Files.writeString(harness.file, Files.readString(harness.file)
+                .replace(":" + harness.discovery.port(), ":" + next.port()));
+        harness.sidecar.reload(harness.environment());
+        // A connection that the loop has begun by then is accepted before this one.
+        harness.loop.submit(() -> { }).get();
+        harness.loop.submit(() -> { }).get();
+        try (Harness.Client own = new Harness.Client(new InetSocketAddress("127.0.0.1", next.port()))) {
+            own.raw("GET /own HTTP/1.1\r\n\r\n");
+            assertEquals("GET /own HTTP/1.1", next.take().request().first());
+        }
+        assertEquals(1, next.accepted.get());
+        CompletableFuture<InetSocketAddress> started = harness.sidecar.start();
+        assertEquals("GET /v1/servers HTTP/1.1", first(next).request().first());
+        Harness.tell(next, 2, Harness.list(2, true, "in_service", staying));
+        harness.address = started.get(10, TimeUnit.SECONDS);
+        for (int i = 0; i < 20; i++) {
+            assertEquals("staying", harness.client().search(2_000).answer().body());
+        }
+        assertTrue(harness.discovery.seen.isEmpty());
+    }
+
+    /** The next call, which stays to be answered. */
+    private static Stub.Seen first(Stub discovery) throws InterruptedException {
+        Stub.Seen call = discovery.take();
+        discovery.seen.add(call);
+        return call;
+    }
+
     /** A module that decides nothing: the test sees what it is told, and acts in its place. */
     private static final class Scripted extends QuietModule {
         final BlockingQueue<String> told = new LinkedBlockingQueue<>();
--- a/sidecar/src/test/java/sagefall/sidecar/QuietModule.java
+++ b/sidecar/src/test/java/sagefall/sidecar/QuietModule.java
@@ -5,6 +5,11 @@
 
 /** A module that does nothing; tests override what they want to see. */
 class QuietModule implements LoadBalancer {
+    @Override
+    public void servers(long nowMicros, ListKind kind, long revision, List<Server> list) {
+        servers(nowMicros, kind, list);
+    }
+
     @Override
     public void servers(long nowMicros, ListKind kind, List<Server> list) { }
 
