A client's connection has one state, and what each event does in each stands in one place

Behaviour stays, but for bytes behind an answer that is still being written: their time runs as that of a request.

--- a/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
@@ -234,7 +234,7 @@
     private void closeSurplus() {
         long surplus = connections.size() - most / 2;
         if (surplus > 0) {
-            surplus -= connections.stream().filter(c -> c.deaf).count();
+            surplus -= connections.stream().filter(c -> c.state == State.LINGERING).count();
         }
         if (surplus > 0) {
             connections.stream().filter(c -> c.idleMillis() > SURPLUS_MILLIS)
@@ -333,6 +333,25 @@
         }
     }
 
+    /**
+     * What a client's connection is about. Bytes: RESTING and ANSWERING go over to READING; in IN_HAND, but
+     * for an upload, they are one request too many; in LINGERING, and ANSWERING for the last time, they are
+     * thrown away. The client's end closes it in each. SIGTERM, a long rest and want of room end it where it
+     * rests, after a last look for bytes; a sweep bounds the time of each of the others.
+     */
+    private enum State {
+        /** Nothing of a request has come since it was accepted or answered. */
+        RESTING,
+        /** A request has come in part, or whole in this very turn. */
+        READING,
+        /** A request waits for its answer, or its answer passes through. */
+        IN_HAND,
+        /** A whole answer is being written. */
+        ANSWERING,
+        /** Its output is shut; it is read until the client closes too. */
+        LINGERING
+    }
+
     /**
      * A client's connection; it carries one request at a time. A request is taken once all that came with it
      * has been read: bytes behind it mean that its end is not where it says, or that it is not alone.
@@ -347,15 +366,13 @@
         /** The end of a body that passes through, until it is seen that nothing stands behind it. */
         private LastHttpContent last;
         private boolean more;
-        /** A request is awaited: it is the first, or has begun to come. */
-        private boolean awaited = true;
-        private long awaitedSince = openedAt;
+        private State state = State.RESTING;
+        /** When the state began; of the first request's, when the connection was accepted. */
+        private long since = openedAt;
         private long heardAt;
-        private boolean writing;
-        private long answeredAt;
-        /** Nothing that comes counts any more; since when its output is shut, too. */
-        private boolean deaf;
-        private long deafSince;
+        /** It has carried a request, and is to end behind the answer that is being written. */
+        private boolean used;
+        private boolean ends;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -365,6 +382,16 @@
             return millisSince(openedAt);
         }
 
+        private void enter(State next) {
+            state = next;
+            since = System.nanoTime();
+        }
+
+        /** Nothing that comes counts any more. */
+        private boolean deaf() {
+            return state == State.LINGERING || state == State.ANSWERING && ends;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             acceptedAt = openedAt;
@@ -383,16 +410,17 @@
         /** Whether what comes now is to be read. */
         private boolean lets() {
             heardAt = System.nanoTime();
-            if (client != null && !deaf && !client.uploading()) {
+            if (state == State.IN_HAND && !client.uploading()) {
                 // Clients send one request at a time. What comes behind can't be told from a wrong length of
                 // the one in hand, which so is no request either.
                 reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
             }
-            if (!deaf && !awaited) {
-                awaited = true;
-                awaitedSince = heardAt;
+            if (state == State.RESTING && !used) {
+                state = State.READING;
+            } else if (state == State.RESTING || state == State.ANSWERING && !ends) {
+                enter(State.READING);
             }
-            return !deaf;
+            return !deaf();
         }
 
         private void giveUp() {
@@ -405,24 +433,32 @@
 
         /** Since its last answer, if it waits for nothing and nothing of a request has come; else 0. */
         private long idleMillis() {
-            return client != null || writing || deaf || awaited ? 0 : millisSince(answeredAt);
+            return state == State.RESTING && used ? millisSince(since) : 0;
         }
 
         private void checkTimes() {
-            if (client != null) {
-                client.checkStalls();
-            } else if (writing) {
-                closeAfter(answeredAt, WRITE_MILLIS);
-            } else if (deaf) {
-                closeAfter(deafSince, LINGER_MILLIS);
-                closeAfter(Math.max(heardAt, deafSince), LINGER_QUIET_MILLIS);
-            } else if (rests()) {
-                long quiet = awaited ? age() - REQUEST_MILLIS : millisSince(answeredAt) - IDLE_MILLIS;
-                if (quiet > 0) {
-                    retire();
+            switch (state) {
+                case IN_HAND -> {
+                    // One whose client was found gone is in hand until its connection's end is told.
+                    if (client != null) {
+                        client.checkStalls();
+                    }
+                }
+                case ANSWERING -> closeAfter(since, WRITE_MILLIS);
+                case LINGERING -> {
+                    closeAfter(since, LINGER_MILLIS);
+                    closeAfter(Math.max(heardAt, since), LINGER_QUIET_MILLIS);
+                }
+                case READING -> {
+                    if (millisSince(since) > REQUEST_MILLIS) {
+                        reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole in time");
+                    }
+                }
+                default -> {
+                    if (millisSince(since) > (used ? IDLE_MILLIS : REQUEST_MILLIS)) {
+                        retire();
+                    }
                 }
-            } else if (millisSince(awaitedSince) > REQUEST_MILLIS) {
-                reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole in time");
             }
         }
 
@@ -432,17 +468,12 @@
             }
         }
 
-        /** Nothing of a request has come since the last answer, or at all. */
-        private boolean rests() {
-            return client == null && !writing && !deaf && (!awaited || heardAt == 0);
-        }
-
         /** Whether it rests, seen with all that has come so far. */
         private boolean stillRests() {
-            if (rests()) {
+            if (state == State.RESTING) {
                 Link.readNow(channel);
             }
-            return rests() && channel.isActive();
+            return state == State.RESTING && channel.isActive();
         }
 
         /**
@@ -458,14 +489,13 @@
         }
 
         private void endOutput() {
-            deaf = true;
-            deafSince = System.nanoTime();
+            enter(State.LINGERING);
             ((SocketChannel) channel).shutdownOutput();
         }
 
         /** Ends it at once, since its descriptor is wanted, but where a request has come; whether it has. */
         private boolean makeWay() {
-            boolean spared = deaf || stillRests();
+            boolean spared = state == State.LINGERING || stillRests();
             if (spared) {
                 channel.close();
             }
@@ -474,11 +504,9 @@
 
         /** How well this connection can be spared, by its kind and then by time; 0 where it can't. */
         private double spare() {
-            if (client != null || writing || age() <= QUIET_MILLIS) {
-                return 0;
-            }
-            double kind = deaf ? 3 : heardAt == 0 ? 2 : awaited ? 0 : 1;
-            return kind == 0 ? 0 : kind + 1 - 1 / (1.0 + millisSince(Math.max(openedAt, answeredAt)));
+            int kind = age() <= QUIET_MILLIS ? 0 : state == State.LINGERING ? 3
+                    : state != State.RESTING ? 0 : used ? 1 : 2;
+            return kind == 0 ? 0 : kind + 1 - 1 / (1.0 + millisSince(since));
         }
 
         @Override
@@ -497,7 +525,7 @@
          * request.
          */
         private long mostUploaded(HttpRequest head) {
-            long most = deaf || client != null || whole != null || head.decoderResult().isFailure() ? 0
+            long most = deaf() || client != null || whole != null || head.decoderResult().isFailure() ? 0
                     : service.uploads(head);
             long length = HttpUtil.getContentLength(head, -1L);
             boolean small = length >= 0 ? length <= Link.MAX_BODY : !HttpUtil.isTransferEncodingChunked(head);
@@ -506,8 +534,7 @@
 
         private void upload(HttpRequest head) {
             long most = mostUploaded(head);
-            awaited = false;
-            client = new Exchange(head);
+            begin(new Exchange(head));
             client.continues = HttpUtil.is100ContinueExpected(head);
             client.upload = new Upload(streaming, buffers, most, client::readClient);
             try {
@@ -519,7 +546,7 @@
         }
 
         private void pass(HttpContent part) {
-            if (client == null || !client.uploading() || deaf) {
+            if (client == null || !client.uploading() || deaf()) {
                 return;
             }
             if (part.decoderResult().isFailure()) {
@@ -544,7 +571,7 @@
             decoder.ended();
             if (whole != null || client != null) {
                 more = true;
-            } else if (!deaf) {
+            } else if (!deaf()) {
                 whole = http.retain();
             }
         }
@@ -560,7 +587,7 @@
                     http.release();
                 }
             }
-            if (client != null && client.uploading() && !deaf) {
+            if (client != null && client.uploading() && !deaf()) {
                 client.upload.flush();
                 if (last != null) {
                     uploaded();
@@ -585,15 +612,14 @@
         }
 
         private void take(FullHttpRequest http) {
-            if (deaf) {
+            if (deaf()) {
                 return;
             }
             if (more || !decoder.isEmpty()) {
                 reject(HttpResponseStatus.BAD_REQUEST, "more than one request");
                 return;
             }
-            awaited = false;
-            client = new Exchange(http);
+            begin(new Exchange(http));
             if (http.decoderResult().isSuccess() && http.uri().equals("/healthz")) {
                 client.answer(service.ready() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(),
@@ -608,9 +634,15 @@
             }
         }
 
+        private void begin(Exchange next) {
+            client = next;
+            used = true;
+            enter(State.IN_HAND);
+        }
+
         /** Answers what is no request and ends the connection; what still comes on it is thrown away. */
         private void reject(HttpResponseStatus status, String why) {
-            if (deaf) {
+            if (deaf()) {
                 return;
             }
             if (client != null && client.bounds != null) {
@@ -763,8 +795,8 @@
                         .addListener(f -> {
                             if (f.isSuccess() && client == this) {
                                 client = null;
-                                deaf = !keep || endsByClose || ending || !listening.config().isAutoRead();
-                                answeredAt = System.nanoTime();
+                                ends = !keep || endsByClose || ending || !listening.config().isAutoRead();
+                                enter(State.ANSWERING);
                                 taken.run();
                                 written(true);
                             }
@@ -776,7 +808,7 @@
                 if (endsByClose) {
                     channel.config().setOption(ChannelOption.SO_LINGER, 0);
                 }
-                deaf = true;
+                enter(State.LINGERING);
                 if (client == this) {
                     client = null;
                     service.left(this);
@@ -803,27 +835,27 @@
                 client = null;
                 // While others wait to be accepted, a connection that stays open and idle shuts them out. And
                 // where a body has not come whole, what follows is the rest of it.
-                deaf = !keep || ending || !listening.config().isAutoRead() || uploading();
+                ends = !keep || ending || !listening.config().isAutoRead() || uploading();
                 if (upload != null) {
                     channel.config().setAutoRead(true);
                 }
                 FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
                         headers, new DefaultHttpHeaders());
                 HttpUtil.setContentLength(response, content.readableBytes());
-                if (deaf) {
+                if (ends) {
                     response.headers().set(HttpHeaderNames.CONNECTION, "close");
                 }
-                writing = true;
-                answeredAt = System.nanoTime();
+                enter(State.ANSWERING);
                 channel.writeAndFlush(response).addListener(f -> written(f.isSuccess()));
             }
 
             private void written(boolean whole) {
-                writing = false;
                 if (!whole) {
                     channel.close();
-                } else if (deaf) {
+                } else if (state == State.ANSWERING && ends) {
                     endOutput();
+                } else if (state == State.ANSWERING) {
+                    enter(State.RESTING);
                 }
             }
         }
