Names of the field where the hardening touched the code: warm-up, half-close, evict, aggregator, timeouts

Rehearsal is WarmUp, retiring a connection half-closes it, making way for another is an eviction, the inner classes that collect whole messages are aggregators, and the bounds on discovery's silence are Timeouts.

--- a/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
@@ -118,7 +118,7 @@
     private Streaming streaming = Streaming.OFF;
     private final Buffers buffers = new Buffers();
     private long acceptedAt = System.nanoTime();
-    private long retiredAt = acceptedAt;
+    private long halfClosedAt = acceptedAt;
 
     ClientServer(EventLoop loop, Service service, int most, Consumer<String> log) {
         this.loop = loop;
@@ -141,7 +141,7 @@
                             c.config().setRecvByteBufAllocator(Link.smallReads());
                         }
                         c.pipeline().addLast(new Gate(connection), connection.decoder,
-                                new HttpResponseEncoder(), new Whole(connection), connection);
+                                new HttpResponseEncoder(), new Aggregator(connection), connection);
                     }
                 }).bind(address);
         listening = bound.channel();
@@ -190,7 +190,7 @@
         if (millisSince(endedAt) >= streaming.drainMillis()) {
             List.copyOf(connections).forEach(Connection::cutShort);
         }
-        List.copyOf(connections).stream().filter(c -> c.age() > QUIET_MILLIS).forEach(Connection::retire);
+        List.copyOf(connections).stream().filter(c -> c.age() > QUIET_MILLIS).forEach(Connection::halfClose);
         if (listening.isOpen() && quiet()) {
             // What waits to be accepted would be reset with the socket.
             listening.config().setAutoRead(true);
@@ -208,7 +208,7 @@
 
     /** Nobody has come for a while, nor been sent away, who would come again. */
     private boolean quiet() {
-        return millisSince(Math.max(acceptedAt, retiredAt)) > QUIET_MILLIS
+        return millisSince(Math.max(acceptedAt, halfClosedAt)) > QUIET_MILLIS
                 || millisSince(endedAt) > LAST_ACCEPT_MILLIS;
     }
 
@@ -239,7 +239,7 @@
         if (surplus > 0) {
             connections.stream().filter(c -> c.idleMillis() > SURPLUS_MILLIS)
                     .sorted(Comparator.comparingLong(Connection::idleMillis).reversed()).limit(surplus)
-                    .toList().forEach(Connection::retire);
+                    .toList().forEach(Connection::halfClose);
         }
     }
 
@@ -259,11 +259,11 @@
         boolean room = connections.size() < most;
         if (!room) {
             for (Connection c : connections) {
-                if (c.spare() > (victim == null ? 0 : victim.spare())) {
+                if (c.evictionRank() > (victim == null ? 0 : victim.evictionRank())) {
                     victim = c;
                 }
             }
-            room = victim != null && victim.makeWay();
+            room = victim != null && victim.evict();
         }
         accepts.maxMessagesPerRead(Math.max(1, Math.min(ACCEPTS, most - connections.size())));
         listening.config().setAutoRead(room);
@@ -310,11 +310,11 @@
     /**
      * Collects whole requests, but for a body that passes through; ends the connection after one too large.
      */
-    private static final class Whole extends HttpObjectAggregator {
+    private static final class Aggregator extends HttpObjectAggregator {
         private final Connection connection;
         private boolean passing;
 
-        Whole(Connection connection) {
+        Aggregator(Connection connection) {
             super(Link.MAX_BODY, true);
             this.connection = connection;
         }
@@ -456,7 +456,7 @@
                 }
                 default -> {
                     if (millisSince(since) > (used ? IDLE_MILLIS : REQUEST_MILLIS)) {
-                        retire();
+                        halfClose();
                     }
                 }
             }
@@ -481,9 +481,9 @@
          * client has closed too. A request that crosses this is not taken, and its client can tell; a close
          * over its unread bytes would be a reset.
          */
-        private void retire() {
+        private void halfClose() {
             if (stillRests()) {
-                retiredAt = System.nanoTime();
+                halfClosedAt = System.nanoTime();
                 endOutput();
             }
         }
@@ -494,16 +494,16 @@
         }
 
         /** Ends it at once, since its descriptor is wanted, but where a request has come; whether it has. */
-        private boolean makeWay() {
-            boolean spared = state == State.LINGERING || stillRests();
-            if (spared) {
+        private boolean evict() {
+            boolean quiet = state == State.LINGERING || stillRests();
+            if (quiet) {
                 channel.close();
             }
-            return spared || !channel.isActive();
+            return quiet || !channel.isActive();
         }
 
         /** How well this connection can be spared, by its kind and then by time; 0 where it can't. */
-        private double spare() {
+        private double evictionRank() {
             int kind = age() <= QUIET_MILLIS ? 0 : state == State.LINGERING ? 3
                     : state != State.RESTING ? 0 : used ? 1 : 2;
             return kind == 0 ? 0 : kind + 1 - 1 / (1.0 + millisSince(since));
--- a/sidecar/src/main/java/sagefall/sidecar/Discovery.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Discovery.java
@@ -44,11 +44,11 @@
      *
      * <p>A watch that goes on costs the service nothing, so a shorter wait costs only the sidecar's own time.
      */
-    record Patience(long holdMillis, long answerMillis) {
-        static final Patience WITH_AGENT = new Patience(3_000, 500);
-        static final Patience WITH_SERVICE = new Patience(2_000, 2_000);
+    record Timeouts(long holdMillis, long answerMillis) {
+        static final Timeouts WITH_AGENT = new Timeouts(3_000, 500);
+        static final Timeouts WITH_SERVICE = new Timeouts(2_000, 2_000);
 
-        static Patience of(boolean onAsk) {
+        static Timeouts of(boolean onAsk) {
             return onAsk ? WITH_SERVICE : WITH_AGENT;
         }
     }
@@ -68,7 +68,7 @@
     private final EventLoop loop;
     private final ServerList.Reader reader;
     private final Listener listener;
-    private final Patience patience;
+    private final Timeouts timeouts;
     private final Consumer<String> log;
 
     private InetSocketAddress address;
@@ -91,14 +91,14 @@
     private Future<?> pause;
 
     Discovery(EventLoop loop, InetSocketAddress address, ServerList.Reader reader, long revision,
-            Listener listener, Consumer<String> log, Patience patience) {
+            Listener listener, Consumer<String> log, Timeouts timeouts) {
         this.loop = loop;
         this.address = address;
         this.reader = reader;
         this.revision = revision;
         this.listener = listener;
         this.log = log;
-        this.patience = patience;
+        this.timeouts = timeouts;
     }
 
     /** Begins to watch; while the watch is on there is nothing to ask for. */
@@ -148,9 +148,9 @@
             return;
         }
         askedAt = System.nanoTime();
-        holdMillis = answering ? patience.holdMillis : NO_HOLD_MILLIS;
+        holdMillis = answering ? timeouts.holdMillis : NO_HOLD_MILLIS;
         silence = loop.schedule(() -> fail("no answer"),
-                (whole ? 0 : holdMillis) + patience.answerMillis, TimeUnit.MILLISECONDS);
+                (whole ? 0 : holdMillis) + timeouts.answerMillis, TimeUnit.MILLISECONDS);
         if (peer == null) {
             peer = new Peer();
         } else if (peer.up) {
--- a/sidecar/src/main/java/sagefall/sidecar/Link.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Link.java
@@ -140,7 +140,7 @@
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new Gate(), decoder, new HttpRequestEncoder(),
-                                new Whole(maxBody), new Answers());
+                                new Aggregator(maxBody), new Answers());
                     }
                 }).connect(to);
         channel = connecting.channel();
@@ -248,10 +248,10 @@
     }
 
     /** Collects answers, but for the one that passes through. */
-    private final class Whole extends HttpObjectAggregator {
+    private final class Aggregator extends HttpObjectAggregator {
         private boolean passing;
 
-        Whole(int maxBody) {
+        Aggregator(int maxBody) {
             super(maxBody);
         }
 
--- a/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
@@ -68,10 +68,10 @@
     /** Answers that tell a client that asking again is harmless: only the module may say so. */
     private static final Set<HttpResponseStatus> REFUSALS =
             Set.of(HttpResponseStatus.TOO_MANY_REQUESTS, HttpResponseStatus.SERVICE_UNAVAILABLE);
-    /** Requests of the rehearsal, and its longest time. */
-    private static final int REHEARSED = 250;
-    private static final long REHEARSAL_MILLIS = 1_500;
-    /** After the rehearsal, beside which the folder was read: a disk that is stalled keeps nobody longer. */
+    /** Requests of the warm-up, and its longest time. */
+    private static final int WARM_UP_REQUESTS = 250;
+    private static final long WARM_UP_MILLIS = 1_500;
+    /** After the warm-up, beside which the folder was read: a disk that is stalled keeps nobody longer. */
     private static final long OPENED_MILLIS = 250;
     /** From one look at what discovery has written to the next, beside those that the loop takes. */
     private static final long LOOK_MICROS = 20_000;
@@ -122,7 +122,7 @@
         reader = new RequestReader(config.settings());
         pool = new ServerPool(loop, clock, config, this);
         discovery = new Discovery(loop, config.discovery(), config.lists(), config.known().revision(), this,
-                this::log, Discovery.Patience.of(config.settings().discoveryOnAsk()));
+                this::log, Discovery.Timeouts.of(config.settings().discoveryOnAsk()));
         clients = new ClientServer(loop, this, config.clientConnections(), this::log);
         extend(config.extensions());
     }
@@ -163,7 +163,7 @@
             Runtime.getRuntime().addShutdownHook(end);
             Recovery recovery = config.extensions().recovery();
             Keeper keeper = recovery.isOn() ? new Keeper(recovery, config.name(), sidecar::log) : null;
-            Rehearsal.run(config, REHEARSED, REHEARSAL_MILLIS);
+            WarmUp.run(config, WARM_UP_REQUESTS, WARM_UP_MILLIS);
             if (keeper != null) {
                 Kept kept = keeper.opened(OPENED_MILLIS);
                 loop.submit(() -> sidecar.keep(keeper, kept)).sync();
--- a/sidecar/src/main/java/sagefall/sidecar/Rehearsal.java
+++ b/sidecar/src/main/java/sagefall/sidecar/WarmUp.java
@@ -33,7 +33,7 @@
 /**
  * Made-up requests before the first real one: a sidecar of its own, whose only servers are this very class
  * behind the address that it will listen on, serves clients that are this class too. Nothing of it outlasts
- * the rehearsal but the code that the runtime has compiled, and nothing leaves the process.
+ * the warm-up but the code that the runtime has compiled, and nothing leaves the process.
  *
  * <p>Without it a sidecar is open to all of its clients while each of their requests costs tens of times its
  * usual CPU time and the compiler takes half of what there is; what then waits is late, is asked for again,
@@ -41,7 +41,7 @@
  * a core or a busy neighbour. Harm: the time that it takes is added to the time that a restart takes, so it
  * has an end by the clock as well as by count; meanwhile {@code /healthz} answers 503.
  */
-final class Rehearsal implements ClientServer.Service {
+final class WarmUp implements ClientServer.Service {
 
     private static final int SERVERS = 8;
     private static final int CLIENTS = 4;
@@ -66,7 +66,7 @@
     private int answered;
     private boolean over;
 
-    private Rehearsal(EventLoop loop, Config config, int requests) {
+    private WarmUp(EventLoop loop, Config config, int requests) {
         this.loop = loop;
         this.config = config;
         this.requests = requests;
@@ -76,16 +76,16 @@
 
     /** Goes through so many requests, or as many as there is time for; how many were answered. */
     static int run(Config config, int requests, long millis) throws InterruptedException {
-        // A loop of its own: with it go all connections and timers of the rehearsal.
+        // A loop of its own: with it go all connections and timers of the warm-up.
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Rehearsal rehearsal = new Rehearsal(group.next(), config, requests);
+        WarmUp warmUp = new WarmUp(group.next(), config, requests);
         try {
-            rehearsal.loop.execute(rehearsal::open);
-            rehearsal.ended.await(millis, TimeUnit.MILLISECONDS);
+            warmUp.loop.execute(warmUp::open);
+            warmUp.ended.await(millis, TimeUnit.MILLISECONDS);
             CountDownLatch closed = new CountDownLatch(1);
-            rehearsal.loop.execute(() -> rehearsal.close(closed::countDown));
+            warmUp.loop.execute(() -> warmUp.close(closed::countDown));
             closed.await();
-            return rehearsal.answered;
+            return warmUp.answered;
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
         }
@@ -156,7 +156,7 @@
         FullHttpRequest next = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                 safe ? HttpMethod.GET : HttpMethod.POST, "/" + c.name() + "/" + number, body);
         long millis = number % REFUSED == REFUSED - 1 ? 1 : c.deadlineMicros() / 1000;
-        next.headers().set(HttpHeaderNames.HOST, "rehearsal")
+        next.headers().set(HttpHeaderNames.HOST, "warm-up")
                 .set(Headers.REQUEST_ID, prefix + number)
                 .set(Headers.TIMEOUT, Math.max(1, millis));
         if (!settings.tenants().isEmpty()) {
--- a/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
@@ -95,7 +95,7 @@
         Listed listed = new Listed();
         Config config = harness.config();
         Discovery discovery = harness.loop.submit(() -> new Discovery(harness.loop, config.discovery(),
-                config.lists(), 1, listed, line -> { }, new Discovery.Patience(400, 200))).get();
+                config.lists(), 1, listed, line -> { }, new Discovery.Timeouts(400, 200))).get();
         for (int round = 0; round < 2; round++) {
             harness.loop.execute(discovery::subscribe);
             Stub.Seen first = harness.discovery.take();
@@ -113,9 +113,9 @@
     /** Noticing, the module's back-off and two further calls, of which one is lost, end before the 6 s do. */
     @Test
     void silenceOfAnAgentIsOverBeforeItsWordCountsAsTold() {
-        Discovery.Patience patience = Discovery.Patience.WITH_AGENT;
+        Discovery.Timeouts timeouts = Discovery.Timeouts.WITH_AGENT;
         long backOff = 150;
-        assertTrue(patience.holdMillis() + 2 * (patience.answerMillis() + backOff) + patience.answerMillis()
+        assertTrue(timeouts.holdMillis() + 2 * (timeouts.answerMillis() + backOff) + timeouts.answerMillis()
                 < 6_000);
     }
 
--- a/sidecar/src/test/java/sagefall/sidecar/ProcessTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/ProcessTest.java
@@ -47,7 +47,7 @@
                 }
                 client.close();
             } catch (IOException | AssertionError e) {
-                // Not listening yet, or closed with the rehearsal.
+                // Not listening yet, or closed with the warm-up.
             }
             assertTrue(process.isAlive(), "the program ended");
             process.waitFor(20, TimeUnit.MILLISECONDS);
--- a/sidecar/src/test/java/sagefall/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/SidecarTest.java
@@ -440,7 +440,7 @@
         };
         Config config = harness.config();
         harness.loop.execute(() -> new Discovery(harness.loop, address, config.lists(), 1, listener,
-                line -> { }, new Discovery.Patience(50, 50)).subscribe());
+                line -> { }, new Discovery.Timeouts(50, 50)).subscribe());
         assertEquals("no answer", failures.poll(10, TimeUnit.SECONDS));
         silent.awaitEnd();
     }
--- a/sidecar/src/test/java/sagefall/sidecar/RehearsalTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/WarmUpTest.java
@@ -13,9 +13,9 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The rehearsal goes through the whole sidecar, and is seen by nobody. */
+/** The warm-up goes through the whole sidecar, and is seen by nobody. */
 @Timeout(60)
-class RehearsalTest {
+class WarmUpTest {
 
     private static final int REQUESTS = 50;
 
@@ -32,13 +32,13 @@
         }
     }
 
-    /** Again and again: the address was still in use at times when the rehearsal had ended. */
+    /** Again and again: the address was still in use at times when the warm-up had ended. */
     @Test
     void allIsAnsweredAndNothingLeavesTheProcess() throws Exception {
         try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server)) {
             Config config = at(harness, freePort());
             for (int i = 0; i < 5; i++) {
-                assertTrue(Rehearsal.run(config, REQUESTS, 20_000) >= REQUESTS);
+                assertTrue(WarmUp.run(config, REQUESTS, 20_000) >= REQUESTS);
                 new ServerSocket(config.listen().getPort()).close();
             }
             assertTrue(server.seen.isEmpty());
@@ -51,7 +51,7 @@
     void itEndsByTheClockToo() throws Exception {
         try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server)) {
             long since = System.nanoTime();
-            Rehearsal.run(at(harness, freePort()), Integer.MAX_VALUE, 100);
+            WarmUp.run(at(harness, freePort()), Integer.MAX_VALUE, 100);
             assertTrue(System.nanoTime() - since < 5_000_000_000L);
         }
     }
@@ -63,7 +63,7 @@
             Config config = at(harness, freePort());
             var running = CompletableFuture.supplyAsync(() -> {
                 try {
-                    return Rehearsal.run(config, Integer.MAX_VALUE, 2_000);
+                    return WarmUp.run(config, Integer.MAX_VALUE, 2_000);
                 } catch (InterruptedException e) {
                     return -1;
                 }
