Tests between sockets share what opens and closes them; out-of-date decisions are one table

Four test classes had the same folder, list of what is open and way of closing it; OnSockets has it once. The three tests of a decision that is out of date when its connection comes up were copies but for one line and are one table of cases; each now also checks that nothing was written and that the connection ends. Nothing is taken out.

--- a/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
@@ -13,8 +13,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
@@ -25,40 +23,13 @@
 import java.util.concurrent.atomic.AtomicReference;
 import sagefall.Choice;
 import sagefall.LoadBalancer;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What comes in the very moment in which something else happens; each test forces its order. */
-@Timeout(60)
-class CrossingTest {
-
-    @TempDir
-    Path folder;
-    private final List<AutoCloseable> open = new ArrayList<>();
-
-    @AfterEach
-    void closeAll() throws Exception {
-        for (int i = open.size() - 1; i >= 0; i--) {
-            open.get(i).close();
-        }
-    }
-
-    private Stub server(Stub.Script script) throws IOException {
-        Stub stub = new Stub(script);
-        open.add(stub);
-        return stub;
-    }
-
-    private Harness harness(Stub... servers) throws Exception {
-        Harness harness = new Harness(folder, servers);
-        open.add(harness);
-        return harness;
-    }
+class CrossingTest extends OnSockets {
 
     /** Keeps the loop, on which it is called, for so long: a slow turn is what is to be forced. */
     private static void stall(long millis) {
--- /dev/null
+++ b/sidecar/src/test/java/sagefall/sidecar/OnSockets.java
@@ -0,0 +1,43 @@
+package sagefall.sidecar;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What tests between real sockets open, which is closed in the opposite order. */
+@Timeout(60)
+abstract class OnSockets {
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    final void closeAll() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    final <T extends AutoCloseable> T opened(T next) {
+        open.add(next);
+        return next;
+    }
+
+    final Stub server(Stub.Script script) throws IOException {
+        return opened(new Stub(script));
+    }
+
+    /** One that has not been started. */
+    final Harness harness(Stub... servers) throws Exception {
+        return opened(new Harness(folder, servers));
+    }
+
+    final Harness sidecar(Stub... servers) throws Exception {
+        return harness(servers).start();
+    }
+}
--- a/sidecar/src/test/java/sagefall/sidecar/RoughTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/RoughTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -12,42 +10,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import sagefall.LoadBalancer;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Servers that say more than was asked, and clients that say what can't be meant. */
-@Timeout(60)
-class RoughTest {
+class RoughTest extends OnSockets {
 
     private static final String COPY = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 
-    @TempDir
-    Path folder;
-    private final List<AutoCloseable> open = new ArrayList<>();
-
-    @AfterEach
-    void closeAll() throws Exception {
-        for (int i = open.size() - 1; i >= 0; i--) {
-            open.get(i).close();
-        }
-    }
-
-    private Stub server(Stub.Script script) throws IOException {
-        Stub stub = new Stub(script);
-        open.add(stub);
-        return stub;
-    }
-
-    private Harness sidecar(Stub... servers) throws Exception {
-        Harness harness = new Harness(folder, servers);
-        open.add(harness);
-        return harness.start();
-    }
-
     /** Sends a request again as soon as the first has an answer, from inside that very event. */
     private static final class Chaining extends QuietModule {
         private final Actions actions;
@@ -86,8 +57,7 @@
     @ValueSource(strings = {COPY + "copy", "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\n"})
     void whatComesBehindAnAnswerIsNoAnswer(String behind) throws Exception {
         Stub server = server(Stub.SILENT);
-        Harness harness = new Harness(folder, server);
-        open.add(harness);
+        Harness harness = harness(server);
         harness.start((settings, actions) -> new Chaining(actions));
         Harness.Client first = harness.client().search(5_000);
         Stub.Seen one = server.take();
@@ -186,8 +156,7 @@
     @Test
     void silentClientsDoNotShutOutOthers() throws Exception {
         Stub server = server(Stub.serves("ok"));
-        Harness harness = new Harness(folder, 250_000, 128, server);
-        open.add(harness);
+        Harness harness = opened(new Harness(folder, 250_000, 128, server));
         harness.start();
         for (int i = 0; i < harness.config().clientConnections() + 20; i++) {
             harness.client();
@@ -231,8 +200,7 @@
     /** Clients that ask once and stay used up what clients may hold, until the usual idle time was over. */
     @Test
     void idleClientsPastHalfOfTheBoundAreClosedSoon() throws Exception {
-        Harness harness = new Harness(folder, 250_000, 128, server(Stub.serves("ok")));
-        open.add(harness);
+        Harness harness = opened(new Harness(folder, 250_000, 128, server(Stub.serves("ok"))));
         harness.start();
         int half = harness.config().clientConnections() / 2;
         List<Harness.Client> clients = new ArrayList<>();
@@ -252,8 +220,7 @@
 
     @Test
     void errorInTheModuleIsAnsweredToo() throws Exception {
-        Harness harness = new Harness(folder);
-        open.add(harness);
+        Harness harness = harness();
         harness.start((settings, actions) -> new QuietModule() {
             @Override
             public void request(long nowMicros, LoadBalancer.Request request) {
@@ -267,8 +234,7 @@
     @Test
     void longListIsTaken() throws Exception {
         Stub server = server(Stub.serves("ok"));
-        Harness harness = new Harness(folder);
-        open.add(harness);
+        Harness harness = harness();
         List<Stub> many = new ArrayList<>();
         for (int i = 0; i < 900; i++) {
             many.add(server);
--- a/sidecar/src/test/java/sagefall/sidecar/ServerPoolTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/ServerPoolTest.java
@@ -14,7 +14,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -24,42 +23,23 @@
 import sagefall.LoadBalancer.Request;
 import sagefall.LoadBalancer.Result;
 import sagefall.sidecar.Call.Attempt;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** The pool alone: what the module's own limits would keep a whole sidecar from reaching. */
-@Timeout(60)
-class ServerPoolTest {
+class ServerPoolTest extends OnSockets {
 
     private static final long CONNECT_MICROS = 20_000_000;
 
-    @TempDir
-    Path folder;
-    private final List<AutoCloseable> open = new ArrayList<>();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
     private final Clock clock = new Clock();
     private LoadReport lastReport;
     private Harness harness;
     private ServerPool pool;
 
-    @AfterEach
-    void closeAll() throws Exception {
-        for (int i = open.size() - 1; i >= 0; i--) {
-            open.get(i).close();
-        }
-    }
-
-    private Stub server(Stub.Script script) throws IOException {
-        Stub stub = new Stub(script);
-        open.add(stub);
-        return stub;
-    }
-
     private void start(int sockets, Stub... servers) throws Exception {
-        harness = new Harness(folder, CONNECT_MICROS, sockets, servers);
-        open.add(harness);
+        harness = opened(new Harness(folder, CONNECT_MICROS, sockets, servers));
         Config config = harness.config();
         pool = harness.loop.submit(() -> new ServerPool(harness.loop, clock, config, this::ended)).get();
         update(Harness.list(1, true, "in_service", servers));
@@ -222,22 +202,29 @@
                 + "','endpoint':'127.0.0.1:" + jammed.socket.getLocalPort() + "','state':'" + state + "'}]");
     }
 
-    /** A connection that comes up after its server was told to drain: the decision is out of date. */
-    @Test
-    void nothingIsWrittenToOneThatDrains() throws Exception {
-        Jammed jammed = new Jammed();
-        open.add(jammed);
+    /** What makes a decision out of date while its connection comes up. */
+    private enum Meanwhile { THE_SERVER_DRAINS, THE_WINDOW_ENDS, THE_REQUEST_IS_OVER }
+
+    @ParameterizedTest
+    @EnumSource
+    void nothingIsWrittenByADecisionOutOfDate(Meanwhile meanwhile) throws Exception {
+        Jammed jammed = opened(new Jammed());
         start(1024);
         update(jammedList(1, "in_service", jammed));
         Attempt attempt = send(jammed.socket.getLocalPort());
-        update(jammedList(2, "terminating", jammed));
+        switch (meanwhile) {
+            case THE_SERVER_DRAINS -> update(jammedList(2, "terminating", jammed));
+            case THE_WINDOW_ENDS -> attempt.latestAt = clock.micros();
+            default -> attempt.call.over = true;
+        }
         Socket up = jammed.acceptNext();
         assertEquals(Result.NOT_SENT, result());
         assertFalse(attempt.written);
+        harness.loop.submit(pool::close).get();
         assertEquals(-1, up.getInputStream().read());
     }
 
-    /** The same on a connection that rested, and what was begun before goes on to its end. */
+    /** On a connection that rested nothing goes out either, and what was begun before goes on to its end. */
     @Test
     void whatWasBegunBeforeTheDrainEnds() throws Exception {
         Stub server = server(Stub.SILENT);
@@ -251,34 +238,4 @@
         assertEquals(Result.SERVED, result());
         assertTrue(server.seen.isEmpty());
     }
-
-    /** The window of a keyed request ended while the connection of its repeat came up. */
-    @Test
-    void nothingIsWrittenPastItsLatestTime() throws Exception {
-        Jammed jammed = new Jammed();
-        open.add(jammed);
-        start(1024);
-        update(jammedList(1, "in_service", jammed));
-        Attempt attempt = send(jammed.socket.getLocalPort());
-        attempt.latestAt = clock.micros();
-        Socket up = jammed.acceptNext();
-        assertEquals(Result.NOT_SENT, result());
-        assertFalse(attempt.written);
-        harness.loop.submit(pool::close).get();
-        assertEquals(-1, up.getInputStream().read());
-    }
-
-    @Test
-    void requestThatIsOverIsNotWritten() throws Exception {
-        Jammed jammed = new Jammed();
-        open.add(jammed);
-        start(1024);
-        update(jammedList(1, "in_service", jammed));
-        Attempt attempt = send(jammed.socket.getLocalPort());
-        attempt.call.over = true;
-        Socket up = jammed.acceptNext();
-        assertEquals(Result.NOT_SENT, result());
-        harness.loop.submit(pool::close).get();
-        assertEquals(-1, up.getInputStream().read());
-    }
 }
--- a/sidecar/src/test/java/sagefall/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/SidecarTest.java
@@ -5,9 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -15,39 +13,13 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import sagefall.LoadBalancer;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The whole sidecar between real sockets. */
-@Timeout(60)
-class SidecarTest {
-
-    @TempDir
-    Path folder;
-    private final List<AutoCloseable> open = new ArrayList<>();
-
-    @AfterEach
-    void closeAll() throws Exception {
-        for (int i = open.size() - 1; i >= 0; i--) {
-            open.get(i).close();
-        }
-    }
-
-    private Stub server(Stub.Script script) throws IOException {
-        Stub stub = new Stub(script);
-        open.add(stub);
-        return stub;
-    }
-
-    private Harness sidecar(Stub... servers) throws Exception {
-        Harness harness = new Harness(folder, servers);
-        open.add(harness);
-        return harness.start();
-    }
+class SidecarTest extends OnSockets {
 
     @Test
     void answerIsPassedOnUnchanged() throws Exception {
@@ -267,8 +239,7 @@
     @Test
     void exceptionInTheModuleIsAnsweredAndLogged() throws Exception {
         Stub server = server(Stub.serves("ok"));
-        Harness harness = new Harness(folder, server);
-        open.add(harness);
+        Harness harness = harness(server);
         harness.start((settings, actions) -> new QuietModule() {
             private boolean thrown;
 
@@ -290,8 +261,7 @@
     /** What an action brings about at once reaches the module after the call that asked for it. */
     @Test
     void moduleIsNotEnteredAgainFromItsOwnAction() throws Exception {
-        Harness harness = new Harness(folder);
-        open.add(harness);
+        Harness harness = harness();
         List<String> order = new ArrayList<>();
         harness.start((settings, actions) -> new QuietModule() {
             @Override
@@ -315,8 +285,7 @@
     @Test
     void clientsPastTheBoundReplaceIdleOnes() throws Exception {
         Stub server = server(Stub.serves("ok"));
-        Harness harness = new Harness(folder, 250_000, 128, server);
-        open.add(harness);
+        Harness harness = opened(new Harness(folder, 250_000, 128, server));
         harness.start();
         Harness.Client first = harness.client();
         assertEquals(200, first.search(5_000).answer().status());
@@ -331,8 +300,7 @@
     /** A module that says nothing of a request leaves it to the sidecar, which answers in time. */
     @Test
     void forgottenRequestIsAnsweredAndTheModuleTold() throws Exception {
-        Harness harness = new Harness(folder);
-        open.add(harness);
+        Harness harness = harness();
         var left = new LinkedBlockingQueue<String>();
         harness.start((settings, actions) -> new QuietModule() {
             @Override
@@ -347,8 +315,7 @@
     /** Where all are busy a new client waits, and the next connection that is answered makes way for it. */
     @Test
     void clientPastTheBoundIsAcceptedAfterAnAnswer() throws Exception {
-        Harness harness = new Harness(folder, 250_000, 128);
-        open.add(harness);
+        Harness harness = opened(new Harness(folder, 250_000, 128));
         var inHand = new LinkedBlockingQueue<String>();
         var actions = new AtomicReference<LoadBalancer.Actions>();
         harness.start((settings, does) -> {
@@ -425,8 +392,7 @@
     @Test
     void silentDiscoveryIsGivenUp() throws Exception {
         Stub silent = server(Stub.SILENT);
-        Harness harness = new Harness(folder);
-        open.add(harness);
+        Harness harness = harness();
         var address = Addresses.parse("127.0.0.1:" + silent.port());
         var failures = new LinkedBlockingQueue<String>();
         Discovery.Listener listener = new Discovery.Listener() {
