--- a/sidecar/src/test/java/sagefall/sidecar/ProcessTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/ProcessTest.java
@@ -13,11 +13,14 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The program as the platform runs it. */
 @Timeout(60)
@@ -54,8 +57,10 @@
         }
     }
 
-    @Test
-    void terminationAnswersWhatIsInHandAndExitsWithZero() throws Exception {
+    /** Alone, or with another signal at once before or behind it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"TERM", "HUP TERM", "TERM HUP", "TERM TERM"})
+    void terminationAnswersWhatIsInHandAndExitsWithZero(String signals) throws Exception {
         InetSocketAddress address;
         try (ServerSocket free = new ServerSocket(0)) {
             address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
@@ -65,7 +70,7 @@
             try (Harness.Client client = connect(address, process)) {
                 client.book("x", 20_000);
                 Stub.Seen held = server.take();
-                process.destroy();
+                signal(process, signals.split(" "));
                 assertTrue(!process.waitFor(600, TimeUnit.MILLISECONDS), "ended with a request in hand");
                 held.reply("200 OK", "", "done");
                 assertEquals("done", client.answer().body());
@@ -78,8 +83,30 @@
         }
     }
 
-    private static void hangUp(Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+    private static void signal(Process process, String... signals) throws Exception {
+        String each = Stream.of(signals).map(s -> "kill -" + s + " " + process.pid())
+                .collect(Collectors.joining(" && "));
+        assertEquals(0, new ProcessBuilder("sh", "-c", each).start().waitFor());
+    }
+
+    /** Before the agent's first word nobody has been let in, so nothing is owed to anyone. */
+    @Test
+    void terminationBeforeTheFirstListEndsAtOnce() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        try (Stub server = new Stub(Stub.SILENT); Harness harness = new Harness(folder, server).pushed()) {
+            Process process = program(harness.file, "127.0.0.1:" + address.getPort()).start();
+            try {
+                harness.discovery.take();
+                signal(process, "TERM");
+                assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
     }
 
     /** SIGHUP: the file's discovery goes before the environment's, and a wrong file changes nothing. */
@@ -98,11 +125,11 @@
                 harness.discovery.take();
                 String text = Files.readString(harness.file);
                 Files.writeString(harness.file, text.substring(0, text.length() / 2));
-                hangUp(process);
+                signal(process, "HUP");
                 assertEquals(200, client.search(2_000).answer().status());
                 Files.writeString(harness.file,
                         text.replace(":" + harness.discovery.port(), ":" + next.port()));
-                hangUp(process);
+                signal(process, "HUP");
                 Stub.Seen asked = next.take();
                 assertEquals("GET /v1/servers HTTP/1.1", asked.request().first());
                 harness.discovery.awaitEnd();
@@ -113,7 +140,7 @@
                 assertEquals(503, client.search(2_000).answer().status());
                 // And back again.
                 Files.writeString(harness.file, text);
-                hangUp(process);
+                signal(process, "HUP");
                 assertEquals("GET /v1/servers HTTP/1.1", harness.discovery.take().request().first());
             } finally {
                 process.destroyForcibly();
--- a/sidecar/src/test/java/sagefall/sidecar/RoughTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/RoughTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -218,6 +219,31 @@
         }
     }
 
+    /** Three times the bound of clients that send much and go, by an end or a reset, leave nothing behind. */
+    @Test
+    void clientsThatSendMuchAndGoLeaveNothingBehind() throws Exception {
+        Harness harness = opened(new Harness(folder, 250_000, 128, server(Stub.serves("ok")))).start();
+        int bound = harness.config().clientConnections();
+        Harness.Client kept = harness.client();
+        String much = Harness.Client.head("POST", "/book/k1", 2_000, "", 60_000) + "x".repeat(200_000);
+        for (int i = 0; i < 3 * bound; i++) {
+            Harness.Client flooding = harness.client();
+            flooding.socket.setSoLinger(i % 2 == 0, 0);
+            try {
+                flooding.raw(much);
+            } catch (IOException e) {
+                // Cut off, as it may be.
+            }
+            flooding.close();
+            if (i % 10 == 0) {
+                assertEquals(200, kept.search(5_000).answer().status());
+            }
+        }
+        for (int i = 0; i < bound - 1; i++) {
+            assertEquals(200, harness.client().search(5_000).answer().status());
+        }
+    }
+
     @Test
     void errorInTheModuleIsAnsweredToo() throws Exception {
         Harness harness = harness();
