--- a/sidecar/src/test/java/sagefall/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/SidecarTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.locks.LockSupport;
 import sagefall.LoadBalancer;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
