A request's time runs from its last byte, also where the loop comes late to it

Cause, in three places: - Sidecar.serve ended the warm-up after 1.5 s by the clock. With a seventh of a core that is 0.2 s of processor time, some dozen requests; the rest of the warm-up was played with the clients' requests. What a long turn, or the accept queue, had held back was answered as much too late. - Deadlines were timers of the loop, which takes them behind all that a turn has read. Ruled out: descriptors (82 of 1,216), memory (36 of 200 MB), refused or closed connections (0 not taken, 0 closed unserved), attempts after a close (0).

Deadlines keeps requests by deadline and is looked at before each event, with one timer for all in place of one each.

--- a/sidecar/src/main/java/sagefall/sidecar/Call.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Call.java
@@ -24,6 +24,11 @@
             return true;
         }
 
+        /** How long the request may have waited to be read, in microseconds. */
+        default long waitedMicros() {
+            return 0;
+        }
+
         /** Takes the content over. */
         void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content);
 
@@ -70,7 +75,8 @@
     LoadReport report;
     /** Until when the client waits; of an upload it is moved when the last byte has come. */
     long deadlineMicros;
-    Future<?> expiry;
+    /** When its deadline acts, while it is held by {@link Deadlines}. */
+    long dueMicros;
 
     Call(Request request, HttpMethod method, String uri, HttpHeaders headers, byte[] body, Upload upload,
             long mostStreamed, Client client) {
--- a/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
@@ -106,6 +106,7 @@
     private static final long SWEEP_MILLIS = 25;
 
     private final EventLoop loop;
+    private final Turns turns;
     private final Service service;
     private final int most;
     private final Consumer<String> log;
@@ -120,8 +121,9 @@
     private long acceptedAt = System.nanoTime();
     private long halfClosedAt = acceptedAt;
 
-    ClientServer(EventLoop loop, Service service, int most, Consumer<String> log) {
+    ClientServer(EventLoop loop, Turns turns, Service service, int most, Consumer<String> log) {
         this.loop = loop;
+        this.turns = turns;
         this.service = service;
         this.most = most;
         this.log = log;
@@ -370,6 +372,8 @@
         /** When the state began; of the first request's, when the connection was accepted. */
         private long since = openedAt;
         private long heardAt;
+        /** Since when it may have waited to be accepted. */
+        private final long waitedSince = turns.since();
         /** It has carried a request, and is to end behind the answer that is being written. */
         private boolean used;
         private boolean ends;
@@ -693,6 +697,8 @@
         private final class Exchange implements Call.Client {
             private final boolean keep;
             private final boolean knowsChunks;
+            /** What is read in the turn behind the accepting one may have come with the connection. */
+            private final long cameAt = turns.since() - openedAt <= 0 ? waitedSince : turns.since();
             /**
              * The end of the answer is that of the connection, so only a reset tells that it is not whole.
              */
@@ -737,6 +743,11 @@
                 }
             }
 
+            @Override
+            public long waitedMicros() {
+                return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - cameAt);
+            }
+
             /** Of an upload the end is not sought: reading it is its flow's. */
             @Override
             public boolean waits() {
--- a/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
@@ -4,8 +4,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -68,9 +66,14 @@
     /** Answers that tell a client that asking again is harmless: only the module may say so. */
     private static final Set<HttpResponseStatus> REFUSALS =
             Set.of(HttpResponseStatus.TOO_MANY_REQUESTS, HttpResponseStatus.SERVICE_UNAVAILABLE);
-    /** Requests of the warm-up, and its longest time. */
+    /**
+     * Requests of the warm-up, and the time since the start at which it ends all the same: with a seventh of
+     * a core, ten times as slow as with a whole one, it then still comes to most of them, and a restart is
+     * ready within 6 s. A bound of its own of 1.5 s left such a process cold, and a second of its clients'
+     * requests unread.
+     */
     private static final int WARM_UP_REQUESTS = 250;
-    private static final long WARM_UP_MILLIS = 1_500;
+    private static final long WARM_UP_UNTIL_MILLIS = 4_500;
     /** After the warm-up, beside which the folder was read: a disk that is stalled keeps nobody longer. */
     private static final long OPENED_MILLIS = 250;
     /** From one look at what discovery has written to the next, beside those that the loop takes. */
@@ -84,6 +87,8 @@
     private final ServerPool pool;
     private final Discovery discovery;
     private final ClientServer clients;
+    private final Turns turns;
+    private final Deadlines deadlines;
     private final Config config;
     /** What streams, as the file of extensions said last. */
     private Streaming streaming;
@@ -108,22 +113,24 @@
         void tell(long nowMicros);
     }
 
-    Sidecar(EventLoop loop, Config config, PrintStream log) {
-        this(loop, config, log, Choice::new);
+    Sidecar(EventLoop loop, Turns turns, Config config, PrintStream log) {
+        this(loop, turns, config, log, Choice::new);
     }
 
     /** With another module. */
-    Sidecar(EventLoop loop, Config config, PrintStream log,
+    Sidecar(EventLoop loop, Turns turns, Config config, PrintStream log,
             BiFunction<Settings, Actions, LoadBalancer> modules) {
         this.loop = loop;
+        this.turns = turns;
         this.config = config;
         this.log = log;
+        deadlines = new Deadlines(loop, clock, this::overdue);
         module = modules.apply(config.settings(), this);
         reader = new RequestReader(config.settings());
         pool = new ServerPool(loop, clock, config, this);
         discovery = new Discovery(loop, config.discovery(), config.lists(), config.known().revision(), this,
                 this::log, Discovery.Timeouts.of(config.settings().discoveryOnAsk()));
-        clients = new ClientServer(loop, this, config.clientConnections(), this::log);
+        clients = new ClientServer(loop, turns, this, config.clientConnections(), this::log);
         extend(config.extensions());
     }
 
@@ -137,6 +144,7 @@
 
     /** Runs a sidecar until it is told to end; the exit status. */
     public static int serve(Map<String, String> environment, PrintStream log) {
+        long began = System.nanoTime();
         Config config;
         try {
             config = Config.read(environment);
@@ -144,11 +152,11 @@
             log.println(plain(e));
             return 2;
         }
-        var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        EventLoop loop = group.next();
+        Turns turns = new Turns();
+        EventLoop loop = turns.group().next();
         CountDownLatch ended = new CountDownLatch(1);
         try {
-            Sidecar sidecar = loop.submit(() -> new Sidecar(loop, config, log)).get();
+            Sidecar sidecar = loop.submit(() -> new Sidecar(loop, turns, config, log)).get();
             // One after the other, so that the last file read is the last one taken over.
             ExecutorService reading = Executors.newSingleThreadExecutor(
                     new DefaultThreadFactory("reading", true));
@@ -163,7 +171,9 @@
             Runtime.getRuntime().addShutdownHook(end);
             Recovery recovery = config.extensions().recovery();
             Keeper keeper = recovery.isOn() ? new Keeper(recovery, config.name(), sidecar::log) : null;
-            WarmUp.run(config, WARM_UP_REQUESTS, WARM_UP_MILLIS);
+            long read = millisSince(began);
+            int played = WarmUp.run(config, WARM_UP_REQUESTS, Math.max(0, WARM_UP_UNTIL_MILLIS - read));
+            long warm = millisSince(began);
             if (keeper != null) {
                 Kept kept = keeper.opened(OPENED_MILLIS);
                 loop.submit(() -> sidecar.keep(keeper, kept)).sync();
@@ -173,6 +183,8 @@
             }
             try {
                 sidecar.start().get();
+                sidecar.log("start: settings read after " + read + " ms, warm-up of " + played
+                        + " requests over after " + warm + " ms, open after " + millisSince(began) + " ms");
             } catch (ExecutionException e) {
                 Runtime.getRuntime().removeShutdownHook(end);
                 throw e;
@@ -187,6 +199,10 @@
         }
     }
 
+    private static long millisSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
     private static String plain(Exception e) {
         return "sagefall: " + String.valueOf(e.getMessage()).replaceAll("\\s+", " ");
     }
@@ -389,10 +405,12 @@
 
     /**
      * A list that is there counts as told, also where the loop is late and a request, an answer or a timer
-     * would have its turn first: so it is read before the module decides.
+     * would have its turn first: so it is read before the module decides. What is overdue comes first too.
      */
     private void look() {
+        turns.since();
         long now = clock.micros();
+        deadlines.check(now);
         if (now - lookedAt >= LOOK_MICROS) {
             lookedAt = now;
             discovery.catchUp();
@@ -441,10 +459,10 @@
 
     @Override
     public void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest {
-        long now = clock.micros();
+        long now = clock.micros() - client.waitedMicros();
         Call call = reader.read(now, http, ByteBufUtil.getBytes(http.content()), null, streaming, client);
         keep(call, client);
-        expire(call, now);
+        expire(call);
         tell(call, at -> module.request(at, call.request));
     }
 
@@ -455,9 +473,14 @@
         waiting.put(client, call);
     }
 
-    private void expire(Call call, long now) {
-        call.expiry = loop.schedule(() -> abort(call, HttpResponseStatus.GATEWAY_TIMEOUT),
-                call.deadlineMicros - now + OVERDUE_MICROS, TimeUnit.MICROSECONDS);
+    private void expire(Call call) {
+        deadlines.set(call, call.deadlineMicros + OVERDUE_MICROS);
+    }
+
+    /** The loop is late, else its attempts had ended at its deadline and the module had answered it. */
+    private void overdue(Call call) {
+        List.copyOf(call.attempts).forEach(a -> stopWaiting(a, Result.TIMED_OUT));
+        abort(call, HttpResponseStatus.GATEWAY_TIMEOUT);
     }
 
     // ---- Bodies that pass through as they arrive
@@ -479,7 +502,7 @@
             public void whole() {
                 long at = clock.micros();
                 call.deadlineMicros = at + call.request.deadlineMicros() - now;
-                expire(call, at);
+                expire(call);
                 tell(call, when -> module.uploaded(when, call.request.id(), call.deadlineMicros));
             }
 
@@ -526,7 +549,7 @@
             return;
         }
         attempt.timeout.cancel(false);
-        call.expiry.cancel(false);
+        deadlines.remove(call);
         call.streaming = attempt;
         call.report = report;
         tell(call, now -> module.streamBegan(now, call.request.id(), attempt.number, attempt.server,
@@ -739,9 +762,7 @@
 
     private void over(Call call) {
         call.over = true;
-        if (call.expiry != null) {
-            call.expiry.cancel(false);
-        }
+        deadlines.remove(call);
         if (call.upload != null) {
             call.upload.close();
         }
--- a/sidecar/src/main/java/sagefall/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/sagefall/sidecar/WarmUp.java
@@ -3,8 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -54,6 +52,7 @@
             .set(Headers.LOAD, "TEXT util=0.5, qps=10, eps=0");
 
     private final EventLoop loop;
+    private final Turns turns;
     private final Config config;
     private final String prefix;
     /** Ids that the sidecar has been asked for: what comes again under one of them comes from the sidecar. */
@@ -66,19 +65,21 @@
     private int answered;
     private boolean over;
 
-    private WarmUp(EventLoop loop, Config config, int requests) {
+    private WarmUp(EventLoop loop, Turns turns, Config config, int requests) {
         this.loop = loop;
+        this.turns = turns;
         this.config = config;
         this.requests = requests;
         prefix = Long.toHexString(new SplittableRandom(config.settings().seed()).nextLong()) + "-";
-        stage = new ClientServer(loop, this, SOCKETS, line -> { });
+        stage = new ClientServer(loop, turns, this, SOCKETS, line -> { });
     }
 
     /** Goes through so many requests, or as many as there is time for; how many were answered. */
     static int run(Config config, int requests, long millis) throws InterruptedException {
         // A loop of its own: with it go all connections and timers of the warm-up.
-        var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        WarmUp warmUp = new WarmUp(group.next(), config, requests);
+        Turns turns = new Turns();
+        var group = turns.group();
+        WarmUp warmUp = new WarmUp(group.next(), turns, config, requests);
         try {
             warmUp.loop.execute(warmUp::open);
             warmUp.ended.await(millis, TimeUnit.MILLISECONDS);
@@ -117,7 +118,7 @@
             servers.add(new ServerList.Entry(new Server(i, i % zones, 0, 0, Phase.READY, 0, 1), address));
         }
         Config own = config.with(SOCKETS, new ServerList(0, true, servers));
-        sidecar = new Sidecar(loop, own, new PrintStream(OutputStream.nullOutputStream()));
+        sidecar = new Sidecar(loop, turns, own, new PrintStream(OutputStream.nullOutputStream()));
         sidecar.open();
         for (int i = 0; i < CLIENTS; i++) {
             new Client(address);
--- a/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/CrossingTest.java
@@ -137,7 +137,7 @@
         Stub next = server(Stub.SILENT);
         Harness harness = harness(leaving, staying).pushed();
         Config config = harness.config();
-        harness.sidecar = harness.loop.submit(() -> new Sidecar(harness.loop, config,
+        harness.sidecar = harness.loop.submit(() -> new Sidecar(harness.loop, harness.turns, config,
                 new PrintStream(harness.log, true))).get();
         Files.writeString(harness.file, Files.readString(harness.file)
                 .replace(":" + harness.discovery.port(), ":" + next.port()));
--- a/sidecar/src/test/java/sagefall/sidecar/Harness.java
+++ b/sidecar/src/test/java/sagefall/sidecar/Harness.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -52,8 +51,8 @@
 
     final Stub discovery;
     final EventLoop loop;
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final Turns turns = new Turns();
+    private final MultiThreadIoEventLoopGroup group = turns.group();
     private final List<Client> clients = new ArrayList<>();
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
     final Path file;
@@ -126,7 +125,8 @@
     CompletableFuture<InetSocketAddress> begin(BiFunction<Settings, Actions, LoadBalancer> modules)
             throws Exception {
         Config config = config();
-        sidecar = loop.submit(() -> new Sidecar(loop, config, new PrintStream(log, true), modules)).get();
+        sidecar = loop.submit(() -> new Sidecar(loop, turns, config, new PrintStream(log, true), modules))
+                .get();
         return sidecar.start();
     }
 
