--- a/lab/src/main/java/sagefall/lab/model/ColdBudget.java
+++ b/lab/src/main/java/sagefall/lab/model/ColdBudget.java
@@ -4,14 +4,11 @@
 
 /**
  * The rule on cold servers, for one server: within any span of a stated length it bears a multiple of its
- * present
- * capacity. Each request counts as the mean work, as no sidecar can know that one is long, and a few requests
- * are slack for chance.
+ * present capacity, which is N requests of the mean work, as no sidecar can know that one is long; past them
+ * 2 x root of N + 2 are chance.
  */
 public final class ColdBudget {
 
-    private static final double SLACK = 3;
-
     private record Sent(long at, boolean told) { }
 
     private final double multiple;
@@ -45,7 +42,8 @@
         while (sent.peek().at < now - spanMicros) {
             told -= sent.poll().told ? 1 : 0;
         }
-        return sent.size() * meanWork > multiple * capacity * spanMicros + SLACK * meanWork;
+        double allowed = multiple * capacity * spanMicros / meanWork;
+        return sent.size() > allowed + 2 * Math.sqrt(allowed) + 2;
     }
 
     /** The part of the span's work that came from sidecars that knew the server as new. */
--- a/sidecar/src/main/java/sagefall/Choice.java
+++ b/sidecar/src/main/java/sagefall/Choice.java
@@ -311,8 +311,7 @@
 
     @Override
     public void timer(long now, long token) {
-        int kind = (int) (token % TIMER_KINDS);
-        if (kind == ASK) actions.subscribe();
+        if (token % TIMER_KINDS == ASK) actions.subscribe();
         Pending p = timers.remove(token);
         if (p == null || p.over || p.streaming) return;
         boolean waited = now >= waiting.lastUseful(p, requests.size());
--- a/sidecar/src/main/java/sagefall/Health.java
+++ b/sidecar/src/main/java/sagefall/Health.java
@@ -100,8 +100,7 @@
     /** Peak EWMA, and at least the age of the oldest attempt: a hanging server never gives a sample. */
     double slowness(long now, Backend b) {
         Attempt oldest = b.oldest();
-        double age = oldest == null ? 0 : (now - oldest.since) / oldest.usual;
-        return Math.max(known(now, b), age);
+        return oldest == null ? known(now, b) : Math.max(known(now, b), (now - oldest.since) / oldest.usual);
     }
 
     /** Drifts to what is usual for kind and zone between samples, and starts there. */
@@ -224,7 +223,6 @@
     /** An answer clears the server and its connection. */
     private void answered(long now, Attempt a, long elapsed) {
         Backend b = a.server;
-        int c = a.of.requestClass;
         if (a.fresh) setUp(now, Math.max(0, elapsed - a.expected));
         b.usedAt = now;
         b.opened = true;
@@ -240,7 +238,7 @@
             close(b);
             actions.log("server " + b.id + " re-admitted");
         }
-        admission.answered(elapsed, a.of.rules.aimMicros() * a.usual / usualMicros[c]);
+        admission.answered(elapsed, a.of.rules.aimMicros() * a.usual / usualMicros[a.of.requestClass]);
     }
 
     /** Looks at attempts without an answer for far longer than expected; the list is in order of sending. */
--- a/sidecar/src/main/java/sagefall/Pending.java
+++ b/sidecar/src/main/java/sagefall/Pending.java
@@ -23,10 +23,10 @@
         requestClass = Math.min(Math.max(0, request.requestClass()), classes.size() - 1);
         rules = classes.get(requestClass);
         tenant = Math.min(Math.max(0, request.tenant()), tenants - 1);
-        arrivedAt = now;
+        arrivedAt = now - request.waitedMicros();
         deadline = request.deadlineMicros();
         uploading = request.upload();
-        aimAt = now + rules.aimMicros();
+        aimAt = arrivedAt + rules.aimMicros();
     }
 
     /** One sending of it to one server. */
--- a/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
@@ -80,7 +80,7 @@
         void left(Call.Client client);
     }
 
-    private static final int BACKLOG = 512;
+    private static final int BACKLOG = 1_024;
     /** Most connections taken in one turn of the loop. */
     private static final int ACCEPTS = 64;
     /** From the connection, or from a later request's first byte, to its last one. */
@@ -361,6 +361,8 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final Decoder decoder = new Decoder();
+        /** Since when it may have waited to be accepted; asked for first, as it may begin the turn. */
+        private final long waitedSince = turns.since();
         private final long openedAt = System.nanoTime();
         /** Waits for the answer to the request in hand. */
         private Exchange client;
@@ -372,8 +374,6 @@
         /** When the state began; of the first request's, when the connection was accepted. */
         private long since = openedAt;
         private long heardAt;
-        /** Since when it may have waited to be accepted. */
-        private final long waitedSince = turns.since();
         /** It has carried a request, and is to end behind the answer that is being written. */
         private boolean used;
         private boolean ends;
--- a/sidecar/src/main/java/sagefall/sidecar/RequestReader.java
+++ b/sidecar/src/main/java/sagefall/sidecar/RequestReader.java
@@ -48,7 +48,10 @@
         }
     }
 
-    /** The body is what came with the request, or, where that is null, what passes through as it arrives. */
+    /**
+     * The body is what came with the request, or, where that is null, what passes through as it arrives. The
+     * deadline counts from when the client may have sent it.
+     */
     Call read(long now, HttpRequest http, byte[] body, Upload upload, Streaming streaming, Call.Client client)
             throws BadRequest {
         if (http.decoderResult().isFailure()) {
@@ -69,13 +72,14 @@
             throw new BadRequest("no " + Headers.REQUEST_ID);
         }
         long timeout = number(headers, Headers.TIMEOUT, 1) * 1000;
-        long deadline = now + timeout - Math.min(MARGIN_MICROS, timeout / MARGIN_PART);
+        long waited = client.waitedMicros();
+        long deadline = now - waited + timeout - Math.min(MARGIN_MICROS, timeout / MARGIN_PART);
         long key = slash < 0 || slash == path.length() - 1 ? -1
                 : Ids.of(path.substring(path.lastIndexOf('/') + 1));
         boolean repeat = headers.contains(Headers.RETRY, "1", false);
         long streamed = streaming.bounds(known.name()).answerBytes();
         Request request = new Request(id, classes.get(known.name()), tenant(headers), repeat, key, deadline,
-                write, upload != null, streaming.hold(upload != null, streamed > 0));
+                write, upload != null, streaming.hold(upload != null, streamed > 0), waited);
         return new Call(request, http.method(), http.uri(), headers, body, upload, streamed, client);
     }
 
--- a/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Sidecar.java
@@ -67,13 +67,12 @@
     private static final Set<HttpResponseStatus> REFUSALS =
             Set.of(HttpResponseStatus.TOO_MANY_REQUESTS, HttpResponseStatus.SERVICE_UNAVAILABLE);
     /**
-     * Requests of the warm-up, and the time since the start at which it ends all the same: with a seventh of
-     * a core, ten times as slow as with a whole one, it then still comes to most of them, and a restart is
-     * ready within 6 s. A bound of its own of 1.5 s left such a process cold, and a second of its clients'
-     * requests unread.
+     * Requests of the warm-up, and the time since the start at which it ends all the same, so that a restart
+     * is ready within 10 s: with a seventh of a core it then comes to a third of them, which cost the most.
+     * A bound of its own of 1.5 s left such a process cold, and its clients' requests unread for a second.
      */
     private static final int WARM_UP_REQUESTS = 250;
-    private static final long WARM_UP_UNTIL_MILLIS = 4_500;
+    private static final long WARM_UP_UNTIL_MILLIS = 6_000;
     /** After the warm-up, beside which the folder was read: a disk that is stalled keeps nobody longer. */
     private static final long OPENED_MILLIS = 250;
     /** From one look at what discovery has written to the next, beside those that the loop takes. */
@@ -459,7 +458,7 @@
 
     @Override
     public void take(FullHttpRequest http, Call.Client client) throws RequestReader.BadRequest {
-        long now = clock.micros() - client.waitedMicros();
+        long now = clock.micros();
         Call call = reader.read(now, http, ByteBufUtil.getBytes(http.content()), null, streaming, client);
         keep(call, client);
         expire(call);
--- a/sidecar/src/main/java/sagefall/sidecar/Turns.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Turns.java
@@ -11,15 +11,22 @@
  * the loop reads that byte only in its next turn: where a turn is long, as in a crowd or with little of a
  * core, that is much of a deadline, and counted from the reading the answer would come too late.
  *
- * <p>What is there when a turn begins has come since the one before began; where the loop had to sleep for
- * it, it has come only now. Harm: what came at the end of a long turn is taken for as old as that turn.
+ * <p>What is there when a turn begins has come since the one before began. Where the loop had to sleep for
+ * it, it has come only now; but a sleep that was shorter than the turn before is not told from a select that
+ * found something, nor from the compiler's turn on the core. Harm: what came at the end of a long turn, or
+ * soon after, is taken for as old as that turn.
  */
 final class Turns implements SelectStrategy {
 
+    private static final long LEAST_SLEEP_NANOS = 1_000_000;
+
+    /** Of the turn in which the loop is, once it has done something. */
     private boolean begun = true;
     private long beganAt = System.nanoTime();
-    private long sleptAt;
     private long since = beganAt;
+    /** Of the turn before it, and when that had ended. */
+    private long lastBeganAt = beganAt;
+    private long polledAt = beganAt;
 
     /** An event loop of its own that these are the turns of. */
     MultiThreadIoEventLoopGroup group() {
@@ -30,26 +37,20 @@
     @Override
     public int calculateStrategy(IntSupplier selectNow, boolean hasTasks) throws Exception {
         // A turn that read nothing may have had long tasks all the same.
-        since = begun ? beganAt : sleptAt;
-        int ready = selectNow.get();
-        beganAt = System.nanoTime();
-        begun = ready > 0 || hasTasks;
-        sleptAt = beganAt;
-        return begun ? ready : SELECT;
+        lastBeganAt = begun ? beganAt : polledAt;
+        begun = false;
+        polledAt = System.nanoTime();
+        return hasTasks ? selectNow.get() : SELECT;
     }
 
     /** The earliest at which what is read now can have come, on the clock of {@code System.nanoTime()}. */
     long since() {
-        begin();
-        return since;
-    }
-
-    /** After a sleep the first that is done in a turn begins it. */
-    private void begin() {
         if (!begun) {
             begun = true;
             beganAt = System.nanoTime();
-            since = beganAt;
+            boolean slept = beganAt - polledAt > Math.max(LEAST_SLEEP_NANOS, polledAt - lastBeganAt);
+            since = slept ? beganAt : lastBeganAt;
         }
+        return since;
     }
 }
--- a/sidecar/src/test/java/sagefall/RulesTest.java
+++ b/sidecar/src/test/java/sagefall/RulesTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RulesTest {
 
@@ -106,6 +107,21 @@
         assertTrue(waits.size() > 40);
     }
 
+    /** What a request has waited for its host is of its time: it is held so much shorter. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 100_000})
+    void waitingForTheHostCountsForTheAim(long waited) {
+        Recorder r = new Recorder(Recorder.settings(Effect.SAFE, Group.ALL), 0);
+        long since = r.now;
+        r.choice.request(r.now, new Request("x", 0, 0, false, -1, since + 1_000_000 - waited, false, false, 0,
+                waited));
+        while (r.refused.isEmpty()) {
+            r.fireTimers();
+        }
+        long held = r.now - since;
+        assertTrue(Math.abs(held - (140_000 - waited)) < 15_000, "held for " + held);
+    }
+
     /** All of a fleet may start at once, but each has asked for the first time before it counts as told. */
     @Test
     void firstCallOfALargeFleetIsSpreadAndSoon() {
--- a/sidecar/src/test/java/sagefall/StreamsTest.java
+++ b/sidecar/src/test/java/sagefall/StreamsTest.java
@@ -22,7 +22,8 @@
     }
 
     private static void upload(Recorder r, String id, long buffer) {
-        r.choice.request(r.now, new Request(id, 0, 0, false, -1, r.now + 1_000_000, true, true, buffer));
+        r.choice.request(r.now, new Request(id, 0, 0, false, -1, r.now + 1_000_000, true, true, buffer,
+                0));
     }
 
     private static void begin(Recorder r, long elapsed) {
--- a/sidecar/src/test/java/sagefall/sidecar/ProcessTest.java
+++ b/sidecar/src/test/java/sagefall/sidecar/ProcessTest.java
@@ -11,9 +11,12 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -29,11 +32,12 @@
     @TempDir
     Path folder;
 
-    private static ProcessBuilder program(Path config, String listen) {
+    private static ProcessBuilder program(Path config, String listen, String... options) {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(java,
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "sagefall.Main", "serve");
+        List<String> command = new ArrayList<>(List.of(java, "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of(options));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "sagefall.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("LB_CONFIG", config.toString());
         builder.environment().put("LB_LISTEN", listen);
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
@@ -109,6 +113,54 @@
         }
     }
 
+    /** The memory that the deploy file's {@code run} allows. */
+    private static String[] limitsOfRun() throws IOException {
+        String run = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        return Stream.of(run.split(" ")).filter(o -> o.matches("-X(mx|ss).*|-XX:(Max|Reserved).*"))
+                .toArray(String[]::new);
+    }
+
+    /** Names as long as a domain's may be, indented: over 1 MiB, more than a list might have before. */
+    @Test
+    void fleetOf1024IsKnownWithinTheLimitsOfRun() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        String zone = "a".repeat(253);
+        try (Stub old = new Stub(Stub.HANG_UP); Stub server = new Stub(Stub.serves("of the list"));
+                Harness harness = new Harness(folder, old)) {
+            Files.writeString(harness.file, Files.readString(harness.file).replace("\"a\"", '"' + zone + '"')
+                    .replace("\"tick_us\"", "\"replicas_of_me\":1024,\"tick_us\""));
+            String[] limits = limitsOfRun();
+            assertTrue(limits.length >= 3, String.join(" ", limits));
+            Process process = program(harness.file, "127.0.0.1:" + address.getPort(), limits).start();
+            try (Harness.Client client = connect(address, process)) {
+                String list = IntStream.range(0, 1024).mapToObj(i -> """
+                        {
+                                "uid": "%0253d",
+                                "endpoint": "127.0.0.1:%d",
+                                "az": "%s",
+                                "model": "%253s",
+                                "pod_group": %d,
+                                "state": "in_service",
+                                "capacity_hint": 1.0,
+                                "boot_ms": 0
+                        }""".formatted(i, server.port(), zone, "m", i).indent(16))
+                        .collect(Collectors.joining(", "));
+                String whole = "{\"rev\": 2, \"all\": true, \"targets\": [" + list + "]}";
+                assertTrue(whole.length() > 1024 * 1024, whole.length() + " bytes");
+                harness.tell(2, whole);
+                for (int i = 0; i < 20; i++) {
+                    assertEquals("of the list", client.search(5_000).answer().body());
+                }
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     /** SIGHUP: the file's discovery goes before the environment's, and a wrong file changes nothing. */
     @Test
     void hangupGoesOverToTheNewDiscovery() throws Exception {
