--- a/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
+++ b/sidecar/src/main/java/sagefall/sidecar/ClientServer.java
@@ -361,8 +361,9 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final Decoder decoder = new Decoder();
-        /** Since when it may have waited to be accepted; asked for first, as it may begin the turn. */
+        /** Since when it may have waited to be accepted, and in which turn it was. */
         private final long waitedSince = turns.since();
+        private final long acceptedIn = turns.number();
         private final long openedAt = System.nanoTime();
         /** Waits for the answer to the request in hand. */
         private Exchange client;
@@ -413,6 +414,8 @@
 
         /** Whether what comes now is to be read. */
         private boolean lets() {
+            // Before the bytes are looked at: in a cold process that alone is as long as a sleep.
+            turns.since();
             heardAt = System.nanoTime();
             if (state == State.IN_HAND && !client.uploading()) {
                 // Clients send one request at a time. What comes behind can't be told from a wrong length of
@@ -698,7 +701,7 @@
             private final boolean keep;
             private final boolean knowsChunks;
             /** What is read in the turn behind the accepting one may have come with the connection. */
-            private final long cameAt = turns.since() - openedAt <= 0 ? waitedSince : turns.since();
+            private final long cameAt = turns.number() <= acceptedIn + 1 ? waitedSince : turns.since();
             /**
              * The end of the answer is that of the connection, so only a reset tells that it is not whole.
              */
--- a/sidecar/src/main/java/sagefall/sidecar/Turns.java
+++ b/sidecar/src/main/java/sagefall/sidecar/Turns.java
@@ -14,12 +14,16 @@
  * <p>What is there when a turn begins has come since the one before began. Where the loop had to sleep for
  * it, it has come only now; but a sleep that was shorter than the turn before is not told from a select that
  * found something, nor from the compiler's turn on the core. Harm: what came at the end of a long turn, or
- * soon after, is taken for as old as that turn.
+ * soon after, is taken for as old as that turn, and what comes to an idle process that is not swept for
+ * longer than it is.
  */
 final class Turns implements SelectStrategy {
 
-    private static final long LEAST_SLEEP_NANOS = 1_000_000;
+    private static final long LEAST_SLEEP_NANOS = 2_000_000;
+    /** Connections are swept every 25 ms: a loop that begins so much later has stood still, not slept. */
+    private static final long MOST_SLEEP_NANOS = 50_000_000;
 
+    private long number;
     /** Of the turn in which the loop is, once it has done something. */
     private boolean begun = true;
     private long beganAt = System.nanoTime();
@@ -37,19 +41,32 @@
     @Override
     public int calculateStrategy(IntSupplier selectNow, boolean hasTasks) throws Exception {
         // A turn that read nothing may have had long tasks all the same.
+        number++;
         lastBeganAt = begun ? beganAt : polledAt;
         begun = false;
         polledAt = System.nanoTime();
         return hasTasks ? selectNow.get() : SELECT;
     }
 
+    /** Which turn it is, counted from the start. */
+    long number() {
+        return number;
+    }
+
     /** The earliest at which what is read now can have come, on the clock of {@code System.nanoTime()}. */
     long since() {
         if (!begun) {
             begun = true;
             beganAt = System.nanoTime();
-            boolean slept = beganAt - polledAt > Math.max(LEAST_SLEEP_NANOS, polledAt - lastBeganAt);
-            since = slept ? beganAt : lastBeganAt;
+            long gap = beganAt - polledAt;
+            if (gap <= Math.max(LEAST_SLEEP_NANOS, polledAt - lastBeganAt)) {
+                since = lastBeganAt;
+            } else if (gap <= MOST_SLEEP_NANOS) {
+                since = beganAt;
+            } else {
+                beganAt = polledAt;
+                since = polledAt;
+            }
         }
         return since;
     }
