--- a/sidecar/src/main/java/sagefall/Choice.java
+++ b/sidecar/src/main/java/sagefall/Choice.java
@@ -20,7 +20,7 @@
 
     /** List lines that discovery is taken to send all instances in the time within which each must ask. */
     private static final double LIST_LINES = 8000;
-    /** Mean time until an agent or a service that failed is asked again; latest first call to a service. */
+    /** Microseconds: the mean until an agent, a service that failed is asked again; its latest first call. */
     private static final double AGENT_WAIT = 100_000, SERVICE_WAIT = 400_000, FIRST_CALL = 3_000_000;
     /** Kinds of timer, in the low bits of their tokens. */
     private static final int HELD = 0, ASK = 1, TIMER_KINDS = 2;
