--- a/review/standin/HalfRequests.java
+++ b/review/standin/HalfRequests.java
@@ -1,10 +1,12 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -34,6 +36,9 @@
                     + "\"streaming\":false,\"aim_us\":1200000,\"deadline_us\":2500000,\"worth\":1,"
                     + "\"late_value\":0}";
 
+    /** The clients that stop; filled by one thread, read after it has ended its work. */
+    private static final List<Review.Client> STOPPING = new CopyOnWriteArrayList<>();
+
     private HalfRequests() {}
 
     public static void main(String[] arguments) throws IOException {
@@ -105,6 +110,13 @@
             for (Thread thread : usual) {
                 thread.join();
             }
+            Review.Answer health =
+                    Review.Client.once(
+                            port, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", null, 2_000);
+            record.line("at the end /healthz: %s", health);
+            record.line(
+                    "clients that stopped: %d, of these with an error or a close: %d",
+                    STOPPING.size(), countEnded());
             record.say(
                     "usual requests: %d, served: %d, taken and not answered in time: %d, not taken: %d, crashed: %s",
                     USUAL_REQUESTS, served.get(), lost.get(), notTaken.get(), sidecar.hasCrashed());
@@ -136,14 +148,30 @@
         record.line("client of %s got %s", id, answer);
     }
 
-    /** Sends most of a request on each of many connections, then reads until the sidecar ends it. */
+    /** Returns how many of the clients that stop have been sent an answer or the end. */
+    private static int countEnded() {
+        int ended = 0;
+        for (Review.Client client : STOPPING) {
+            try {
+                client.socket().setSoTimeout(1);
+                client.socket().getInputStream().read();
+                ended++;
+            } catch (SocketTimeoutException e) {
+                // Nothing has come.
+            } catch (IOException e) {
+                ended++;
+            }
+        }
+        return ended;
+    }
+
+    /** Sends most of a request on each of many connections, and leaves them open. */
     private static void stopInTheMiddle(int port, Review.Record record) {
-        List<Review.Client> clients = new ArrayList<>();
         try {
             for (int i = 0; i < STOPPING_CLIENTS; i++) {
                 String id = "%016x".formatted(0xbad00000L + i);
                 Review.Client client = new Review.Client(port);
-                clients.add(client);
+                STOPPING.add(client);
                 OutputStream out = client.socket().getOutputStream();
                 String head =
                         Review.head("POST", "/save/" + id, id, TIMEOUT_MILLIS)
@@ -158,6 +186,6 @@
         }
         record.line(
                 "%d clients have sent %d bytes of a body of %d, and stay",
-                clients.size(), SENT_BYTES, STATED_BYTES);
+                STOPPING.size(), SENT_BYTES, STATED_BYTES);
     }
 }
