Review: each case in its own folder, without folders beside the cases

Cause: the folders standin and target lay beside the cases, where a folder is a case.

Change: the program of a case lies in its folder, what they share in review/Review.java, and review/build.sh builds each case into its own folder. The programs are as they were.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins of the cases into review/target. Needs a JDK 17 and nothing else.
+# Builds each case with its stand-ins into the folder target of the case. Needs a JDK 17 and nothing else.
 set -eu
 here=$(cd "$(dirname "$0")" && pwd)
-rm -rf "$here/target"
-mkdir -p "$here/target/classes"
-exec javac -d "$here/target/classes" "$here"/standin/*.java
+for case in "$here"/[123]; do
+    rm -rf "$case/target"
+    mkdir "$case/target"
+    javac -d "$case/target" "$here/Review.java" "$case"/*.java
+done
