Log iterations of the event loop that stall, and errors on client connections

Hypotheses: the event loop waits for memory at each read; it is busy (collecting, copying, sweeping); connections are accepted but a limit keeps their requests from being read; the balancer refuses or queues.

Change: event_loop_stalled has the duration of an iteration above 250 ms, the processor time of the loop's thread, and the numbers of connections and of unfinished requests. An Error on a client connection without a request is logged too; before, it was answered with 400 and left no line.

No line of the balancer about a queue. Three thread dumps 1 s apart, in a run without the change: the loop sleeps in java.nio.Bits.reserveMemory, called by the read of a socket, and used 3 ms of processor time in the 2 s. That is the first hypothesis; the other three are refuted.

--- a/sidecar/src/main/java/sagefall/logging/LogEvent.java
+++ b/sidecar/src/main/java/sagefall/logging/LogEvent.java
@@ -27,6 +27,8 @@
     REQUEST_ABORTED("request_aborted", LogLevel.ERROR),
     /** An internal error occurred on a client connection; the connection is closed. */
     CLIENT_CONNECTION_FAILED("client_connection_failed", LogLevel.ERROR),
+    /** An iteration of the event loop took so long that requests are answered late. */
+    EVENT_LOOP_STALLED("event_loop_stalled", LogLevel.WARN),
     /**
      * The sidecar shuts down. The log line reports the maximum amount of data that all streams
      * together buffered.
--- a/sidecar/src/main/java/sagefall/proxy/LoopLatencyClock.java
+++ b/sidecar/src/main/java/sagefall/proxy/LoopLatencyClock.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.IntSupplier;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.function.LongConsumer;
 
 /**
  * Estimates the earliest time at which the input that an event loop iteration reads can have
@@ -44,6 +45,9 @@
 
     private long iteration;
 
+    /** Receives the duration of each iteration, with the time of its select, in nanoseconds. */
+    private LongConsumer iterationListener = nanos -> {};
+
     /** Whether the current iteration has read input. */
     private boolean reading = true;
 
@@ -77,6 +81,14 @@
                 1, NioIoHandler.newFactory(SelectorProvider.provider(), () -> this));
     }
 
+    /**
+     * Sets the receiver of the duration of each iteration, in nanoseconds. The duration includes
+     * the time for which the event loop slept until there was input or a timer.
+     */
+    void onIteration(LongConsumer listener) {
+        iterationListener = listener;
+    }
+
     /**
      * Records the beginning of an iteration and selects as Netty's default strategy does. The loop
      * calls this method at the beginning of each iteration.
@@ -88,7 +100,9 @@
         iteration++;
         previousStartNanos = reading ? readStartNanos : selectStartNanos;
         reading = false;
-        selectStartNanos = System.nanoTime();
+        long now = System.nanoTime();
+        iterationListener.accept(now - selectStartNanos);
+        selectStartNanos = now;
         return hasTasks ? selectNow.get() : SELECT;
     }
 
--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -35,6 +35,7 @@
 final class SidecarServer {
 
     private final EventLoop loop;
+    private final LoopLatencyClock latencyClock;
     private final SidecarConfig config;
     private final Consumer<String> log;
     private final BalancerDriver driver;
@@ -68,6 +69,7 @@
             PrintStream logStream,
             BiFunction<BalancerSettings, BalancerActions, LoadBalancer> balancerFactory) {
         this.loop = loop;
+        this.latencyClock = latencyClock;
         this.config = config;
         log = line -> logStream.println(config.name() + " " + line);
         WallClock clock = new WallClock();
@@ -234,6 +236,8 @@
                             bound.isSuccess() ? LifecycleState.SERVING : LifecycleState.FAILED);
         }
         if (bound.isSuccess()) {
+            // From here on, the periodic sweep of the client connections bounds each select.
+            latencyClock.onIteration(new EventLoopMonitor(listener, log)::iterationEnded);
             started.complete(listener.address());
         } else {
             started.completeExceptionally(bound.cause());
--- a/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
@@ -175,6 +175,18 @@
         return streaming;
     }
 
+    /** Returns the number of open client connections. */
+    public int connectionCount() {
+        return connections.size();
+    }
+
+    /** Returns the number of client connections on which a part of a request has been read. */
+    public long unfinishedRequestCount() {
+        return connections.stream()
+                .filter(c -> c.state() == ClientConnectionState.READING_REQUEST)
+                .count();
+    }
+
     /** Returns the open connections, in the order in which they were accepted. */
     Set<ClientConnection> connections() {
         return connections;
--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
@@ -79,14 +79,18 @@
                     Unpooled.EMPTY_BUFFER);
             context.close();
         } else {
+            if (cause instanceof Error) {
+                logFailure(exchange, cause);
+            }
             connection.reject(HttpResponseStatus.BAD_REQUEST, NOT_HTTP);
         }
     }
 
     private void logFailure(ClientExchange exchange, Throwable cause) {
+        boolean responseLost = exchange != null && exchange.isResponseStarted();
         LogLine line =
                 LogLine.of(LogEvent.CLIENT_CONNECTION_FAILED)
-                        .with("lost", exchange.isResponseStarted() ? "response" : "request")
+                        .with("lost", responseLost ? "response" : "request")
                         .with("client", connection.channel().remoteAddress())
                         .with("cause", cause);
         connection.listener().log(line.toString());
