Bound what peers make the sidecar hold, and never wait for direct memory

Cause: each read allocated direct memory, and what was read of an unfinished request stayed there. Nothing but -XX:MaxDirectMemorySize bounded the sum, and at that limit java.nio.Bits.reserveMemory sleeps for half a second on the event loop, for each read.

Change: HeapFallbackAllocator uses direct memory for socket reads up to three quarters of the JVM's limit and the heap beyond it; buffers that grow are on the heap. BufferMemory bounds the heap that all connections hold, unfinished requests, requests in flight, unsent responses and unfinished responses of endpoints, by a third of the maximum heap. At the bound the connection with the largest product of bytes and time without progress drops its message: a client gets a 503, or a reset if it does not read; an endpoint's attempt ends. A rejected request frees what was read of it at once. A head has at most 128 fields, since each takes far more heap than its bytes. Client connections and connections to endpoints are read in small pieces, so a read pins little. ConnectionPool.setStreaming goes, since connections are read alike with and without streaming.

Why it works: no allocation comes to the JVM's limit, and the sum is bounded by dropping from those that make no progress, on the loop, without waiting.

--- a/sidecar/src/main/java/sagefall/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/sagefall/discovery/DiscoveryClient.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import sagefall.buffer.BufferMemory;
 import sagefall.logging.LogEvent;
 import sagefall.logging.LogLine;
 
@@ -36,12 +37,14 @@
     /**
      * Creates a client. The client makes no call before {@link #subscribe}.
      *
+     * @param memory the memory that counts the buffers of the connections to discovery
      * @param revision revision of the list that the sidecar already has; the first call requests
      *     the changes since this revision
      */
     public DiscoveryClient(
             EventLoop loop,
             InetSocketAddress address,
+            BufferMemory memory,
             EndpointListCodec codec,
             long revision,
             Listener listener,
@@ -52,6 +55,7 @@
                 new EndpointWatch(
                         loop,
                         address,
+                        memory,
                         codec,
                         revision,
                         new Backoff(timeouts),
--- a/sidecar/src/main/java/sagefall/discovery/EndpointPoll.java
+++ b/sidecar/src/main/java/sagefall/discovery/EndpointPoll.java
@@ -11,9 +11,11 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import sagefall.buffer.BufferMemory;
 import sagefall.config.SocketAddresses;
 import sagefall.http.HttpClientConnection;
 import sagefall.http.HttpConnectionListener;
+import sagefall.http.ResponseBuffering;
 
 /**
  * Makes calls to discovery over one connection, one at a time. Each call ends with a response or a
@@ -69,7 +71,8 @@
     private Future<?> timeout;
 
     /** Starts to connect; {@link #call} may be used before the connection is established. */
-    EndpointPoll(EventLoop loop, InetSocketAddress address, Listener listener) {
+    EndpointPoll(
+            EventLoop loop, InetSocketAddress address, BufferMemory memory, Listener listener) {
         this.loop = loop;
         this.address = address;
         this.listener = listener;
@@ -79,6 +82,8 @@
                         address,
                         MAX_LIST_BYTES,
                         CONNECT_TIMEOUT_MICROS,
+                        memory,
+                        ResponseBuffering.RETAINED,
                         new ConnectionEvents());
     }
 
--- a/sidecar/src/main/java/sagefall/discovery/EndpointWatch.java
+++ b/sidecar/src/main/java/sagefall/discovery/EndpointWatch.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import sagefall.buffer.BufferMemory;
 
 /**
  * Watches the endpoint list by a series of long polls. Each response is followed by the next call,
@@ -29,6 +30,7 @@
     }
 
     private final EventLoop loop;
+    private final BufferMemory memory;
     private final EndpointListCodec codec;
     private final Backoff backoff;
     private final DiscoveryClient.Listener listener;
@@ -56,12 +58,14 @@
     EndpointWatch(
             EventLoop loop,
             InetSocketAddress address,
+            BufferMemory memory,
             EndpointListCodec codec,
             long revision,
             Backoff backoff,
             DiscoveryClient.Listener listener) {
         this.loop = loop;
         this.address = address;
+        this.memory = memory;
         this.codec = codec;
         this.revision = revision;
         this.backoff = backoff;
@@ -120,7 +124,7 @@
     private void callDiscovery() {
         backoff.onCallStarted(System.nanoTime());
         if (poll == null) {
-            poll = new EndpointPoll(loop, address, this);
+            poll = new EndpointPoll(loop, address, memory, this);
         }
         poll.call(backoff.callTimeoutMillis(completeListRequired));
     }
--- a/sidecar/src/main/java/sagefall/http/ConnectionInitializer.java
+++ b/sidecar/src/main/java/sagefall/http/ConnectionInitializer.java
@@ -10,6 +10,7 @@
     private final HttpClientConnection connection;
     private final int maxBodyBytes;
 
+    /** Creates an initializer. A response body may have at most {@code maxBodyBytes}. */
     ConnectionInitializer(HttpClientConnection connection, int maxBodyBytes) {
         this.connection = connection;
         this.maxBodyBytes = maxBodyBytes;
@@ -23,6 +24,6 @@
                         connection.decoder(),
                         new HttpRequestEncoder(),
                         new ResponseAggregator(connection, maxBodyBytes),
-                        new ResponseHandler(connection));
+                        connection.responseHandler());
     }
 }
--- a/sidecar/src/main/java/sagefall/http/HttpClientConnection.java
+++ b/sidecar/src/main/java/sagefall/http/HttpClientConnection.java
@@ -6,12 +6,18 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import sagefall.buffer.BufferHolder;
+import sagefall.buffer.BufferMemory;
+import sagefall.buffer.BufferUse;
+import sagefall.buffer.HeapAccount;
 import sagefall.streaming.StreamingSettings;
 
 /**
@@ -24,18 +30,25 @@
  * connection. A response is reported only when everything that arrived with it has been read. The
  * report says whether surplus bytes followed the response.
  */
-public final class HttpClientConnection {
+public final class HttpClientConnection implements BufferHolder {
 
     /** Usual maximum size of a body that is buffered completely, in bytes. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
 
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2048;
+
+    /** One read that fills its buffer is followed by another, which finds surplus bytes. */
+    private static final int READS_PER_ITERATION = 2;
+
     private static final int MICROS_PER_MILLI = 1000;
 
-    private final Channel channel;
+    private final BufferMemory memory;
     private final HttpConnectionListener listener;
-    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final HeapAccount fieldMemory;
+    private final ResponseDecoder decoder;
+    private final ResponseHandler responseHandler = new ResponseHandler(this);
+    private final Channel channel;
     private HttpConnectionState state = HttpConnectionState.CONNECTING;
 
     /**
@@ -44,54 +57,51 @@
      */
     private long maxStreamedBytes;
 
-    /**
-     * Begins to connect. Responses on this connection are never streamed.
-     *
-     * @param maxBodyBytes maximum size, in bytes, of the body of a response that is buffered
-     *     completely; a larger body closes the connection
-     * @param connectTimeoutMicros timeout for establishing the connection, in microseconds
-     */
-    public HttpClientConnection(
-            EventLoop loop,
-            InetSocketAddress address,
-            int maxBodyBytes,
-            long connectTimeoutMicros,
-            HttpConnectionListener listener) {
-        this(loop, address, maxBodyBytes, connectTimeoutMicros, false, listener);
-    }
+    /** Number of bytes that have been received since the last request was sent. */
+    private long receivedBytes;
+
+    /** Time at which the last request was sent or bytes last arrived, if that is later. */
+    private long lastProgressNanos = System.nanoTime();
 
     /**
-     * Begins to connect. If responses may be streamed, the socket is read in small pieces, so that
-     * few bytes are read beyond the high watermark.
+     * Begins to connect.
      *
      * @param maxBodyBytes maximum size, in bytes, of the body of a response that is buffered
      *     completely; a larger body closes the connection
      * @param connectTimeoutMicros timeout for establishing the connection, in microseconds
-     * @param streaming whether responses may be streamed
+     * @param memory the memory that counts the buffers of this connection
+     * @param buffering how responses are read, and whether a part of a response may be dropped
      */
     public HttpClientConnection(
             EventLoop loop,
             InetSocketAddress address,
             int maxBodyBytes,
             long connectTimeoutMicros,
-            boolean streaming,
+            BufferMemory memory,
+            ResponseBuffering buffering,
             HttpConnectionListener listener) {
+        this.memory = memory;
         this.listener = listener;
-        Bootstrap bootstrap = new Bootstrap();
-        if (streaming) {
-            bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, smallReadAllocator());
-        }
+        fieldMemory = memory.newAccount();
+        decoder = new ResponseDecoder(fieldMemory);
         int connectTimeoutMillis = (int) Math.max(1, connectTimeoutMicros / MICROS_PER_MILLI);
-        ChannelFuture connecting =
-                bootstrap
+        Bootstrap bootstrap =
+                new Bootstrap()
                         .group(loop)
                         .channel(NioSocketChannel.class)
+                        .option(ChannelOption.ALLOCATOR, memory.allocator())
                         .option(ChannelOption.TCP_NODELAY, true)
                         // Without this option, a half-close and a reset could not be distinguished.
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
-                        .handler(new ConnectionInitializer(this, maxBodyBytes))
-                        .connect(address);
+                        .handler(new ConnectionInitializer(this, maxBodyBytes));
+        if (buffering == ResponseBuffering.DROPPABLE) {
+            bootstrap.option(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    smallReadAllocator(StreamingSettings.READ_BYTES));
+            memory.register(this);
+        }
+        ChannelFuture connecting = bootstrap.connect(address);
         channel = connecting.channel();
         connecting.addListener(connected -> onConnectDone(loop, connected));
         channel.closeFuture().addListener(closed -> executeLater(loop, this::onClosed));
@@ -115,14 +125,22 @@
     private void onClosed() {
         if (state != HttpConnectionState.CLOSED) {
             enter(HttpConnectionState.CLOSED);
+            memory.unregister(this);
             listener.connectionClosed();
         }
     }
 
-    /** Returns an allocator that limits reads to small pieces, for channels that stream bodies. */
-    public static AdaptiveRecvByteBufAllocator smallReadAllocator() {
-        return new AdaptiveRecvByteBufAllocator(
-                MIN_READ_BYTES, FIRST_READ_BYTES, StreamingSettings.READ_BYTES);
+    /**
+     * Returns an allocator that limits the bytes that are read from a channel in one iteration of
+     * the event loop. Other channels then wait for a bounded time however many send at full speed,
+     * a read pins little memory beyond its bytes, and few bytes are read beyond the high watermark
+     * of a stream.
+     *
+     * @param maxReadBytes maximum length of a read, in bytes
+     */
+    public static RecvByteBufAllocator smallReadAllocator(int maxReadBytes) {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, maxReadBytes)
+                .maxMessagesPerRead(READS_PER_ITERATION);
     }
 
     private static void executeLater(EventLoop loop, Runnable task) {
@@ -218,6 +236,48 @@
     private void expectResponse(long newMaxStreamedBytes) {
         enter(HttpConnectionState.AWAITING_RESPONSE);
         maxStreamedBytes = newMaxStreamedBytes;
+        receivedBytes = 0;
+        lastProgressNanos = System.nanoTime();
+    }
+
+    /** Records that bytes of a response have been read. */
+    void bytesReceived(int bytes) {
+        receivedBytes += bytes;
+        lastProgressNanos = System.nanoTime();
+    }
+
+    /** Drops buffers of connections if all of them together hold too much. */
+    void enforceBufferLimit() {
+        memory.enforceLimit();
+    }
+
+    @Override
+    public BufferUse bufferUse() {
+        return BufferUse.ENDPOINT_RESPONSE;
+    }
+
+    /** Returns the size of a buffered response that is not complete. */
+    @Override
+    public long heldBytes() {
+        return state == HttpConnectionState.AWAITING_RESPONSE
+                ? receivedBytes + fieldMemory.bytes()
+                : 0;
+    }
+
+    @Override
+    public long quietMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastProgressNanos);
+    }
+
+    /** Drops the partial response and closes the connection; the close is reported later. */
+    @Override
+    public void dropBuffers() {
+        receivedBytes = 0;
+        fieldMemory.clear();
+        responseHandler.releaseCollected();
+        channel.close();
+        channel.pipeline().remove(decoder);
+        channel.pipeline().remove(ResponseAggregator.class);
     }
 
     /**
@@ -230,6 +290,7 @@
         }
         assert state.canBecome(next) : "HTTP connection: " + state + " cannot become " + next;
         state = next;
+        fieldMemory.clear();
     }
 
     HttpConnectionState state() {
@@ -244,6 +305,10 @@
         return decoder;
     }
 
+    ResponseHandler responseHandler() {
+        return responseHandler;
+    }
+
     long maxStreamedBytes() {
         return maxStreamedBytes;
     }
--- a/sidecar/src/main/java/sagefall/http/ResponseAggregator.java
+++ b/sidecar/src/main/java/sagefall/http/ResponseAggregator.java
@@ -1,19 +1,18 @@
 package sagefall.http;
 
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 /** Buffers complete responses, but passes on the parts of a streamed response as they arrive. */
-final class ResponseAggregator extends HttpObjectAggregator {
+final class ResponseAggregator extends CompactingAggregator {
 
     private final HttpClientConnection connection;
     private boolean streaming;
 
     /** Creates an aggregator that buffers bodies of at most {@code maxBodyBytes}. */
     ResponseAggregator(HttpClientConnection connection, int maxBodyBytes) {
-        super(maxBodyBytes);
+        super(maxBodyBytes, false);
         this.connection = connection;
     }
 
--- a/sidecar/src/main/java/sagefall/http/ResponseHandler.java
+++ b/sidecar/src/main/java/sagefall/http/ResponseHandler.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
@@ -196,6 +197,12 @@
         }
     }
 
+    /** Releases a response that has been read and not been reported. */
+    void releaseCollected() {
+        ReferenceCountUtil.release(collected);
+        collected = null;
+    }
+
     /** Closes the connection after an I/O or decoding error. The close notifies the listener. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
--- a/sidecar/src/main/java/sagefall/http/UnsolicitedInputGate.java
+++ b/sidecar/src/main/java/sagefall/http/UnsolicitedInputGate.java
@@ -1,5 +1,6 @@
 package sagefall.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
@@ -23,7 +24,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) {
         if (connection.state().expectsInput()) {
+            connection.bytesReceived(((ByteBuf) bytes).readableBytes());
             context.fireChannelRead(bytes);
+            connection.enforceBufferLimit();
         } else {
             ReferenceCountUtil.release(bytes);
             context.close();
--- a/sidecar/src/main/java/sagefall/logging/LogEvent.java
+++ b/sidecar/src/main/java/sagefall/logging/LogEvent.java
@@ -27,6 +27,11 @@
     REQUEST_ABORTED("request_aborted", LogLevel.ERROR),
     /** An internal error occurred on a client connection; the connection is closed. */
     CLIENT_CONNECTION_FAILED("client_connection_failed", LogLevel.ERROR),
+    /**
+     * Connections hold so much memory that buffers are dropped. The counts are those since the
+     * start of the process.
+     */
+    BUFFER_LIMIT_REACHED("buffer_limit_reached", LogLevel.WARN),
     /** An iteration of the event loop took so long that requests are answered late. */
     EVENT_LOOP_STALLED("event_loop_stalled", LogLevel.WARN),
     /**
--- a/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
+++ b/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import sagefall.balancer.api.AttemptResult;
 import sagefall.balancer.api.LoadReport;
+import sagefall.buffer.BufferMemory;
 import sagefall.config.SidecarConfig;
 import sagefall.http.ProtocolHeaders;
 import sagefall.proxy.upstream.AttemptListener;
@@ -48,6 +49,7 @@
             EventLoop loop,
             WallClock clock,
             SidecarConfig config,
+            BufferMemory memory,
             BalancerDriver driver,
             InFlightRequests requests,
             ResponseWriter responses) {
@@ -58,7 +60,7 @@
         this.responses = responses;
         outcomes = new OutcomeReporter(driver, requests);
         streamedResponses = new StreamedResponses(driver, requests, outcomes);
-        pool = new ConnectionPool(loop, clock, config, this);
+        pool = new ConnectionPool(loop, clock, config, memory, this);
     }
 
     /** Returns the pool of the connections that the attempts use. */
@@ -68,7 +70,6 @@
 
     /** Sets the streaming settings for responses that begin after this call. */
     void useStreaming(StreamingSettings settings) {
-        pool.setStreaming(settings.isEnabled());
         streamedResponses.useStreaming(settings);
     }
 
--- a/sidecar/src/main/java/sagefall/proxy/InFlightRequests.java
+++ b/sidecar/src/main/java/sagefall/proxy/InFlightRequests.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import sagefall.buffer.BufferMemory;
 
 /**
  * Holds the requests in flight. A request can be found by its client until it has completed. It can
@@ -18,11 +19,13 @@
     private static final long DEADLINE_GRACE_MICROS = 5_000;
 
     private final DeadlineTimers deadlines;
+    private final BufferMemory memory;
     private final Map<String, ProxiedRequest> byId = new HashMap<>();
     private final Map<ProxiedRequest.Client, ProxiedRequest> byClient = new HashMap<>();
 
-    InFlightRequests(DeadlineTimers deadlines) {
+    InFlightRequests(DeadlineTimers deadlines, BufferMemory memory) {
         this.deadlines = deadlines;
+        this.memory = memory;
     }
 
     /**
@@ -34,6 +37,7 @@
             return false;
         }
         byClient.put(request.client, request);
+        memory.hold(request.heapBytes());
         return true;
     }
 
@@ -73,8 +77,9 @@
 
     /** Removes a request if it is completed and has no attempt in flight. */
     void removeIfComplete(ProxiedRequest request) {
-        if (request.completed && request.attemptsInFlight == 0) {
-            byId.remove(request.request.id(), request);
+        boolean complete = request.completed && request.attemptsInFlight == 0;
+        if (complete && byId.remove(request.request.id(), request)) {
+            memory.free(request.heapBytes());
         }
     }
 }
--- a/sidecar/src/main/java/sagefall/proxy/JvmWarmUp.java
+++ b/sidecar/src/main/java/sagefall/proxy/JvmWarmUp.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import sagefall.balancer.api.EndpointPhase;
 import sagefall.balancer.api.ListedEndpoint;
+import sagefall.buffer.BufferLimits;
+import sagefall.buffer.BufferMemory;
 import sagefall.config.SidecarConfig;
 import sagefall.discovery.EndpointList;
 import sagefall.proxy.downstream.DownstreamListener;
@@ -47,6 +49,7 @@
     private final int requestCount;
     private final WarmUpRequests requests;
     private final WarmUpService service;
+    private final BufferMemory memory;
     private final DownstreamListener listener;
 
     /** Counted down when enough requests have completed, or when the address cannot be bound. */
@@ -63,7 +66,10 @@
         this.requestCount = requestCount;
         requests = new WarmUpRequests(config.settings());
         service = new WarmUpService(requests);
-        listener = new DownstreamListener(loop, latencyClock, service, MAX_CONNECTIONS, line -> {});
+        memory = new BufferMemory(BufferLimits.ofJvm(), line -> {});
+        listener =
+                new DownstreamListener(
+                        loop, latencyClock, service, MAX_CONNECTIONS, memory, line -> {});
     }
 
     /**
@@ -126,7 +132,7 @@
         service.forwardTo(sidecar.requestHandler());
         sidecar.deliverInitialEndpoints();
         for (int i = 0; i < CLIENTS; i++) {
-            new WarmUpClient(loop, address, config.connectTimeoutMicros(), requests, this)
+            new WarmUpClient(loop, address, config.connectTimeoutMicros(), memory, requests, this)
                     .connect();
         }
     }
--- a/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
+++ b/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import sagefall.balancer.api.LoadReport;
 import sagefall.balancer.api.Request;
+import sagefall.http.HeaderFieldCounter;
 import sagefall.streaming.FlowControl;
 import sagefall.streaming.StreamedUpload;
 import sagefall.streaming.StreamingSettings;
@@ -166,6 +167,12 @@
         this.client = client;
     }
 
+    /** Returns the heap memory of the body, unless it is streamed, and of the header fields. */
+    long heapBytes() {
+        long bodyBytes = body == null ? 0 : body.length;
+        return bodyBytes + (long) headers.size() * HeaderFieldCounter.FIELD_BYTES;
+    }
+
     /** An endpoint's error response to an upload that was not complete; the content is a copy. */
     record UploadRefusal(HttpResponseStatus status, HttpHeaders headers, byte[] content) {}
 }
--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -12,6 +12,8 @@
 import sagefall.balancer.api.BalancerActions;
 import sagefall.balancer.api.BalancerSettings;
 import sagefall.balancer.api.LoadBalancer;
+import sagefall.buffer.BufferLimits;
+import sagefall.buffer.BufferMemory;
 import sagefall.config.Extensions;
 import sagefall.config.SidecarConfig;
 import sagefall.discovery.DiscoveryClient;
@@ -38,6 +40,7 @@
     private final LoopLatencyClock latencyClock;
     private final SidecarConfig config;
     private final Consumer<String> log;
+    private final BufferMemory memory;
     private final BalancerDriver driver;
     private final AttemptForwarder forwarder;
     private final ConnectionPool pool;
@@ -74,7 +77,8 @@
         log = line -> logStream.println(config.name() + " " + line);
         WallClock clock = new WallClock();
         DeadlineTimers deadlines = new DeadlineTimers(loop, clock, this::expire);
-        InFlightRequests requests = new InFlightRequests(deadlines);
+        memory = new BufferMemory(BufferLimits.ofJvm(), log);
+        InFlightRequests requests = new InFlightRequests(deadlines, memory);
         ResponseWriter responses = new ResponseWriter(requests);
         driver =
                 new BalancerDriver(
@@ -84,7 +88,7 @@
                         this::readDiscovery,
                         this::abortAfterFailure,
                         log);
-        forwarder = new AttemptForwarder(loop, clock, config, driver, requests, responses);
+        forwarder = new AttemptForwarder(loop, clock, config, memory, driver, requests, responses);
         pool = forwarder.pool();
         recorder = new EndpointRecorder(config.endpointListCodec());
         endpointUpdates = new EndpointUpdates(driver, pool, recorder, this::onDiscoveryResult);
@@ -97,7 +101,12 @@
                         clock, config.settings(), driver, requests, forwarder, this::isReady);
         listener =
                 new DownstreamListener(
-                        loop, latencyClock, requestHandler, config.maxClientConnections(), log);
+                        loop,
+                        latencyClock,
+                        requestHandler,
+                        config.maxClientConnections(),
+                        memory,
+                        log);
         ProxyActions actions =
                 new ProxyActions(loop, clock, driver, forwarder, responses, discovery, log);
         driver.setBalancer(balancerFactory.apply(config.settings(), actions));
@@ -108,6 +117,7 @@
         return new DiscoveryClient(
                 loop,
                 config.discovery(),
+                memory,
                 config.endpointListCodec(),
                 config.configuredEndpoints().revision(),
                 endpointUpdates,
--- a/sidecar/src/main/java/sagefall/proxy/WarmUpClient.java
+++ b/sidecar/src/main/java/sagefall/proxy/WarmUpClient.java
@@ -3,8 +3,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpResponse;
 import java.net.InetSocketAddress;
+import sagefall.buffer.BufferMemory;
 import sagefall.http.HttpClientConnection;
 import sagefall.http.HttpConnectionListener;
+import sagefall.http.ResponseBuffering;
 
 /**
  * Sends the requests of the warm-up on one connection, each as soon as the response to the previous
@@ -27,6 +29,7 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final long connectTimeoutMicros;
+    private final BufferMemory memory;
     private final WarmUpRequests requests;
     private final Progress progress;
     private HttpClientConnection connection;
@@ -35,11 +38,13 @@
             EventLoop loop,
             InetSocketAddress address,
             long connectTimeoutMicros,
+            BufferMemory memory,
             WarmUpRequests requests,
             Progress progress) {
         this.loop = loop;
         this.address = address;
         this.connectTimeoutMicros = connectTimeoutMicros;
+        this.memory = memory;
         this.requests = requests;
         this.progress = progress;
     }
@@ -52,6 +57,8 @@
                         address,
                         HttpClientConnection.MAX_BODY_BYTES,
                         connectTimeoutMicros,
+                        memory,
+                        ResponseBuffering.DROPPABLE,
                         this);
     }
 
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientChannelInitializer.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientChannelInitializer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import sagefall.http.HttpClientConnection;
+import sagefall.streaming.StreamingSettings;
 
 /**
  * Builds the pipeline of an accepted channel. {@link ClientConnection} is the first handler and
@@ -11,6 +12,12 @@
  * handler and receives the messages.
  */
 final class ClientChannelInitializer extends ChannelInitializer<Channel> {
+    /**
+     * Maximum length of a read while no body is streamed. Four kilobytes of a body in the smallest
+     * chunks take about a millisecond to decode.
+     */
+    private static final int BUFFERED_READ_BYTES = 4096;
+
     private final DownstreamListener listener;
 
     ClientChannelInitializer(DownstreamListener listener) {
@@ -20,9 +27,12 @@
     @Override
     protected void initChannel(Channel channel) {
         ClientConnection connection = new ClientConnection(listener, channel);
-        if (listener.streamingSettings().isEnabled()) {
-            channel.config().setRecvByteBufAllocator(HttpClientConnection.smallReadAllocator());
-        }
+        int readBytes =
+                listener.streamingSettings().isEnabled()
+                        ? StreamingSettings.READ_BYTES
+                        : BUFFERED_READ_BYTES;
+        channel.config()
+                .setRecvByteBufAllocator(HttpClientConnection.smallReadAllocator(readBytes));
         channel.pipeline()
                 .addLast(
                         connection,
--- a/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import sagefall.buffer.BufferMemory;
 import sagefall.proxy.LoopLatencyClock;
 import sagefall.streaming.BufferAccounting;
 import sagefall.streaming.StreamingSettings;
@@ -29,6 +30,7 @@
     private final EventLoop loop;
     private final LoopLatencyClock loopClock;
     private final RequestHandler requestHandler;
+    private final BufferMemory memory;
     private final Consumer<String> log;
     private final BufferAccounting buffers = new BufferAccounting();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -47,6 +49,7 @@
      * @param loopClock clock that estimates the earliest arrival time of the input that is read
      * @param requestHandler handler of the requests that are read
      * @param maxConnections maximum number of open client connections
+     * @param memory the memory that counts the buffers of all client connections
      * @param log consumer of log lines
      */
     public DownstreamListener(
@@ -54,10 +57,12 @@
             LoopLatencyClock loopClock,
             RequestHandler requestHandler,
             int maxConnections,
+            BufferMemory memory,
             Consumer<String> log) {
         this.loop = loop;
         this.loopClock = loopClock;
         this.requestHandler = requestHandler;
+        this.memory = memory;
         this.log = log;
         limiter = new ConnectionLimiter(connections, maxConnections);
         sweeper = new IdleSweeper(connections, limiter);
@@ -76,6 +81,7 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.RECVBUF_ALLOCATOR, limiter.acceptAllocator())
+                        .childOption(ChannelOption.ALLOCATOR, memory.allocator())
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(new ClientChannelInitializer(this))
                         .bind(address);
@@ -128,6 +134,7 @@
 
     private void sweep() {
         sweeper.sweep();
+        memory.enforceLimit();
         limiter.adjustAccepting(listening);
     }
 
@@ -135,12 +142,14 @@
     void connectionOpened(ClientConnection connection) {
         shutdown.connectionAccepted(connection.acceptedAtNanos());
         connections.add(connection);
+        memory.register(connection);
         limiter.adjustAccepting(listening);
     }
 
     /** Removes a connection whose channel is closed; another may be accepted in its place. */
     void connectionClosed(ClientConnection connection) {
         connections.remove(connection);
+        memory.unregister(connection);
         limiter.adjustAccepting(listening);
     }
 
@@ -167,6 +176,10 @@
         return loopClock;
     }
 
+    BufferMemory memory() {
+        return memory;
+    }
+
     RequestHandler requestHandler() {
         return requestHandler;
     }
--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestAggregator.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestAggregator.java
@@ -3,9 +3,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import sagefall.http.CompactingAggregator;
 import sagefall.http.HttpClientConnection;
 
 /**
@@ -13,7 +13,7 @@
  * parts of a streamed body are passed on as they arrive. A body that is too large to be buffered is
  * rejected with 413, and the connection is closed.
  */
-final class RequestAggregator extends HttpObjectAggregator {
+final class RequestAggregator extends CompactingAggregator {
     private final ClientConnection connection;
     private boolean bodyStreamed;
 
--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -38,7 +39,7 @@
     private static final String HEALTH_CHECK_PATH = "/healthz";
 
     private final ClientConnection connection;
-    private final ClientRequestDecoder decoder = new ClientRequestDecoder();
+    private final ClientRequestDecoder decoder;
 
     /**
      * A complete request that is not handled yet, because further input may follow; null if none.
@@ -53,6 +54,7 @@
 
     RequestReader(ClientConnection connection) {
         this.connection = connection;
+        decoder = new ClientRequestDecoder(connection.fieldMemory());
     }
 
     /** Returns the decoder of this connection, to be added to its pipeline. */
@@ -214,6 +216,10 @@
             connection.reject(HttpResponseStatus.BAD_REQUEST, SEVERAL_REQUESTS);
             return;
         }
+        if (!connection.hasMemoryFor(request.content().readableBytes())) {
+            connection.rejectForMemory();
+            return;
+        }
         ClientExchange exchange = connection.startRequest(request);
         if (request.decoderResult().isSuccess() && request.uri().equals(HEALTH_CHECK_PATH)) {
             respondToHealthCheck(exchange);
@@ -263,6 +269,16 @@
         return furtherMessageRead || !decoder.isEmpty();
     }
 
+    /** Frees what has been read of a request. Further input must be discarded. */
+    void stopDecoding() {
+        releasePending();
+        ChannelPipeline pipeline = connection.channel().pipeline();
+        if (pipeline.get(ClientRequestDecoder.class) != null) {
+            pipeline.remove(decoder);
+            pipeline.remove(RequestAggregator.class);
+        }
+    }
+
     /** Releases messages that have been read and not handled yet. */
     void releasePending() {
         ReferenceCountUtil.release(completeRequest);
--- a/sidecar/src/main/java/sagefall/proxy/upstream/ConnectionPool.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/ConnectionPool.java
@@ -11,9 +11,11 @@
 import sagefall.balancer.api.AttemptResult;
 import sagefall.balancer.api.ListedEndpoint;
 import sagefall.balancer.api.LoadReport;
+import sagefall.buffer.BufferMemory;
 import sagefall.config.SidecarConfig;
 import sagefall.discovery.EndpointList;
 import sagefall.http.HttpClientConnection;
+import sagefall.http.ResponseBuffering;
 import sagefall.proxy.ForwardedAttempt;
 import sagefall.proxy.WallClock;
 
@@ -45,21 +47,25 @@
     private final long idleTimeoutMicros;
     private final Map<Long, PooledEndpoint> endpoints = new HashMap<>();
     private final Map<ForwardedAttempt, UpstreamConnection> connectionsInUse = new HashMap<>();
-    private boolean streaming;
+    private final BufferMemory memory;
 
     /** Number of connections that are not closed. */
     private int connectionCount;
 
     /** Creates a pool without endpoints; {@link #update} adds them. */
     public ConnectionPool(
-            EventLoop loop, WallClock clock, SidecarConfig config, AttemptListener listener) {
+            EventLoop loop,
+            WallClock clock,
+            SidecarConfig config,
+            BufferMemory memory,
+            AttemptListener listener) {
         this.loop = loop;
         this.clock = clock;
+        this.memory = memory;
         this.listener = listener;
         maxConnections = config.maxEndpointConnections();
         connectTimeoutMicros = config.connectTimeoutMicros();
         idleTimeoutMicros = config.settings().limits().idleTimeoutMicros();
-        streaming = config.extensions().streaming().isEnabled();
         long interval =
                 Math.min(MAX_SWEEP_INTERVAL_MICROS, idleTimeoutMicros / SWEEPS_PER_IDLE_TIMEOUT);
         interval = Math.max(1, interval);
@@ -67,17 +73,6 @@
                 this::closeExpiredIdle, interval, interval, TimeUnit.MICROSECONDS);
     }
 
-    /**
-     * Sets whether responses may be streamed after this call. If the setting changes, closes all
-     * idle connections, because the size of their socket reads was chosen for the previous setting.
-     */
-    public void setStreaming(boolean next) {
-        if (streaming != next) {
-            streaming = next;
-            closeAllIdle();
-        }
-    }
-
     /**
      * Applies an endpoint list from discovery. The list may be complete or contain only changes.
      */
@@ -215,7 +210,8 @@
                 endpoint.address(),
                 HttpClientConnection.MAX_BODY_BYTES,
                 connectTimeoutMicros,
-                streaming,
+                memory,
+                ResponseBuffering.DROPPABLE,
                 connection);
     }
 
--- a/sidecar/src/test/java/sagefall/architecture/LayeringTest.java
+++ b/sidecar/src/test/java/sagefall/architecture/LayeringTest.java
@@ -101,6 +101,7 @@
                     .that()
                     .resideInAnyPackage(
                             BALANCER,
+                            "sagefall.buffer..",
                             "sagefall.config..",
                             "sagefall.discovery..",
                             "sagefall.http..",
--- a/sidecar/src/test/java/sagefall/http/HttpClientConnectionTest.java
+++ b/sidecar/src/test/java/sagefall/http/HttpClientConnectionTest.java
@@ -27,6 +27,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import sagefall.buffer.BufferLimits;
+import sagefall.buffer.BufferMemory;
 
 /** Tests one client connection against a server that sends the raw bytes a test writes. */
 class HttpClientConnectionTest {
@@ -48,6 +50,8 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private ServerSocket server;
+    private BufferMemory memory =
+            new BufferMemory(new BufferLimits(1_000_000, 1_000_000), line -> {});
     private HttpClientConnection connection;
 
     /** Appends each reported event to {@link #events} as a short text. */
@@ -110,7 +114,8 @@
                                                 address,
                                                 HttpClientConnection.MAX_BODY_BYTES,
                                                 CONNECT_TIMEOUT_MICROS,
-                                                true,
+                                                memory,
+                                                ResponseBuffering.DROPPABLE,
                                                 new Recorder()))
                         .get();
     }
@@ -173,11 +178,33 @@
                                         address,
                                         HttpClientConnection.MAX_BODY_BYTES,
                                         CONNECT_TIMEOUT_MICROS,
+                                        memory,
+                                        ResponseBuffering.DROPPABLE,
                                         new Recorder()))
                 .get();
         assertClosedOnce();
     }
 
+    /** Guards against a fault in which responses that stopped held memory without a limit. */
+    @Test
+    void partOfAResponseIsDroppedAtTheMemoryLimit() throws Exception {
+        memory = new BufferMemory(new BufferLimits(0, 30_000), line -> {});
+        try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
+            write(peer, "HTTP/1.1 200 OK\nContent-Length: 60000\n\n" + "x".repeat(50_000));
+            assertClosedOnce();
+        }
+        assertEquals(0, loop.submit(memory::heapBytes).get());
+    }
+
+    @Test
+    void responseWithTooManyHeaderFieldsClosesTheConnection() throws Exception {
+        try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
+            int fields = HeaderFieldCounter.MAX_FIELDS;
+            write(peer, "HTTP/1.1 200 OK\n" + "a: b\n".repeat(fields) + "Content-Length: 0\n\n");
+            assertClosedOnce();
+        }
+    }
+
     @Test
     void connectionIsReusableAfterACleanResponse() throws Exception {
         try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
--- a/sidecar/src/test/java/sagefall/proxy/RaceConditionTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/RaceConditionTest.java
@@ -89,6 +89,7 @@
                                         new DiscoveryClient(
                                                 harness.loop,
                                                 config.discovery(),
+                                                SidecarHarness.bufferMemory(),
                                                 config.endpointListCodec(),
                                                 1,
                                                 events,
--- a/sidecar/src/test/java/sagefall/proxy/SidecarHarness.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarHarness.java
@@ -21,6 +21,8 @@
 import sagefall.balancer.api.BalancerActions;
 import sagefall.balancer.api.BalancerSettings;
 import sagefall.balancer.api.LoadBalancer;
+import sagefall.buffer.BufferLimits;
+import sagefall.buffer.BufferMemory;
 import sagefall.config.SidecarConfig;
 
 /**
@@ -127,6 +129,11 @@
         return Stream.of(servers).map(ScriptedPeer::port).toList();
     }
 
+    /** Returns a memory with the limits of this JVM and without a log. */
+    public static BufferMemory bufferMemory() {
+        return new BufferMemory(BufferLimits.ofJvm(), line -> {});
+    }
+
     /** Converts text with single quotes to JSON. */
     public static String json(String quoted) {
         return quoted.replace('\'', '"');
--- a/sidecar/src/test/java/sagefall/proxy/SidecarProcessTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarProcessTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.io.PrintStream;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -15,7 +14,6 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -67,18 +65,6 @@
         assertTrue(output.get(0).contains("BindException"), output.get(0));
     }
 
-    /** Returns the JVM's memory options in the {@code run} command of the deploy file. */
-    private static String[] memoryOptionsOfRunCommand() throws IOException {
-        String run =
-                Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
-                        .filter(line -> line.startsWith("run = "))
-                        .findFirst()
-                        .orElseThrow();
-        return Stream.of(run.split(" "))
-                .filter(option -> option.matches("-X(mx|ss).*|-XX:(Max|Reserved).*"))
-                .toArray(String[]::new);
-    }
-
     /**
      * An earlier version limited the size of an endpoint list to 1 MiB. The list of this test
      * exceeds 1 MiB: it is indented, and its names have 253 characters, which is the maximum length
@@ -93,7 +79,7 @@
                 harness(old)
                         .withConfig("'a'", "'" + zone + "'")
                         .withConfig("'tick_us'", "'replicas_of_me':1024,'tick_us'");
-        String[] memoryOptions = memoryOptionsOfRunCommand();
+        String[] memoryOptions = SidecarProgram.memoryOptionsOfRunCommand();
         assertTrue(memoryOptions.length >= 3, String.join(" ", memoryOptions));
         SidecarProgram program = closeAfterTest(new SidecarProgram(harness, memoryOptions).start());
         TestClient client = closeAfterTest(program.connect());
--- a/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
@@ -51,6 +51,18 @@
         withEnvironment("LB_LISTEN", "127.0.0.1:" + address.getPort());
     }
 
+    /** Returns the JVM's memory options in the {@code run} command of the deploy file. */
+    static String[] memoryOptionsOfRunCommand() throws IOException {
+        String run =
+                Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
+                        .filter(line -> line.startsWith("run = "))
+                        .findFirst()
+                        .orElseThrow();
+        return Stream.of(run.split(" "))
+                .filter(option -> option.matches("-X(mx|ss).*|-XX:(Max|Reserved|\\+Use).*|-Dio.*"))
+                .toArray(String[]::new);
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
--- a/sidecar/src/test/java/sagefall/proxy/SidecarServerTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarServerTest.java
@@ -479,6 +479,7 @@
                         new DiscoveryClient(
                                         harness.loop,
                                         address,
+                                        SidecarHarness.bufferMemory(),
                                         config.endpointListCodec(),
                                         1,
                                         listener,
--- a/sidecar/src/test/java/sagefall/proxy/upstream/ConnectionPoolTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/upstream/ConnectionPoolTest.java
@@ -61,7 +61,11 @@
                         .submit(
                                 () ->
                                         new ConnectionPool(
-                                                harness.loop, clock, config, this::onAttemptEnded))
+                                                harness.loop,
+                                                clock,
+                                                config,
+                                                SidecarHarness.bufferMemory(),
+                                                this::onAttemptEnded))
                         .get();
         update(SidecarHarness.list(1, true, "in_service", servers));
     }
