At the connection limit, close clients that have stopped in the middle of a request

Callers saw: while stopped clients alone reach the limit of connections, new connections wait in the accept queue until the time of the stopped ones for sending a request, 2 s, is over; a usual request took 2,031 ms.

Cause: ConnectionLimiter evicts only half-closed, unused and idle connections; one with a part of a request counted as busy.

Change: an unfinished request without input for 500 ms is rejected with 503 and its connection closed, after half-closed ones and before unused ones. What has arrived is read first. Clients that write slowly pause for less.

Measured: usualRequestsAreServedWhileStoppedClientsReachTheConnectionLimit, 1,000 clients that stop in a head, fails without the change (2,031 ms, bound 1,800) and passes with it.

--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
@@ -251,6 +251,14 @@
         return bodyBytes == 0 || listener.memory().makeRoomFor(bodyBytes);
     }
 
+    /** Rejects an unfinished request, unless its rest has arrived and has not been read yet. */
+    void rejectStopped() {
+        HttpClientConnection.readAvailableFrom(channel);
+        if (state == ClientConnectionState.READING_REQUEST) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
+        }
+    }
+
     /** Rejects the current request, which has not been forwarded, because memory is short. */
     void rejectForMemory() {
         reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is held for unfinished requests");
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ConnectionLimiter.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ConnectionLimiter.java
@@ -23,8 +23,17 @@
     /** Eviction precedence of a connection that has never sent anything. */
     private static final int UNUSED_PRECEDENCE = 2;
 
+    /** Eviction precedence of a connection whose client has stopped in the middle of a request. */
+    private static final int STOPPED_PRECEDENCE = 3;
+
     /** Eviction precedence of a half-closed connection that waits for its client to close. */
-    private static final int LINGERING_PRECEDENCE = 3;
+    private static final int LINGERING_PRECEDENCE = 4;
+
+    /**
+     * Time without input after which the client of an unfinished request counts as stopped. Clients
+     * that write slowly pause for less.
+     */
+    private static final long STOPPED_MILLIS = 500;
 
     private final Set<ClientConnection> connections;
     private final int maxConnections;
@@ -50,10 +59,11 @@
 
     /**
      * Adjusts how many connections the listening channel accepts. At the limit, evicts one
-     * connection that carries no request. Half-closed connections are evicted first, then
-     * connections that have never sent anything, then idle connections. Within each of these
-     * groups, the connection that has been in its state longest is evicted first. If all
-     * connections are busy, new ones wait in the kernel's accept queue.
+     * connection that carries no complete request. Half-closed connections are evicted first, then
+     * connections whose client has stopped in the middle of a request, then connections that have
+     * never sent anything, then idle connections. Within each of these groups, the connection that
+     * has been in its state longest is evicted first. If all connections are busy, new ones wait in
+     * the kernel's accept queue.
      *
      * <p>Below the limit, all waiting connections are accepted at once. Accepting one connection
      * per event loop iteration is too slow if iterations are long (a cold JVM, no CPU time, a
@@ -85,6 +95,9 @@
 
     /** Closes a connection unless a request has arrived on it; returns whether it is closed. */
     private static boolean evict(ClientConnection connection) {
+        if (isStopped(connection)) {
+            connection.rejectStopped();
+        }
         boolean evictable =
                 connection.state() == ClientConnectionState.LINGERING
                         || connection.isStillBetweenRequests();
@@ -107,12 +120,18 @@
         return precedence + 1 - 1 / (1.0 + connection.millisInState());
     }
 
+    private static boolean isStopped(ClientConnection connection) {
+        return connection.state() == ClientConnectionState.READING_REQUEST
+                && connection.millisWithoutInput() > STOPPED_MILLIS;
+    }
+
     private static int evictionPrecedence(ClientConnection connection) {
         if (connection.millisSinceAccepted() <= ClientConnection.FIRST_REQUEST_GRACE_MILLIS) {
             return NOT_EVICTABLE;
         }
         return switch (connection.state()) {
             case LINGERING -> LINGERING_PRECEDENCE;
+            case READING_REQUEST -> isStopped(connection) ? STOPPED_PRECEDENCE : NOT_EVICTABLE;
             case ACCEPTED -> UNUSED_PRECEDENCE;
             case IDLE -> IDLE_PRECEDENCE;
             default -> NOT_EVICTABLE;
--- a/sidecar/src/test/java/sagefall/proxy/StoppedPeersTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StoppedPeersTest.java
@@ -24,6 +24,9 @@
     /** Number of clients that stop; with usual clients fewer than a third of the descriptors. */
     private static final int STOPPED_CLIENTS = 240;
 
+    /** Number of clients that stop if they alone reach the limit of connections. */
+    private static final int MANY_STOPPED_CLIENTS = 1_000;
+
     private static final int STATED_BYTES = 65_000;
     private static final int SENT_BYTES = 64_000;
 
@@ -170,6 +173,18 @@
         assertEquals(List.of(), errors);
     }
 
+    /**
+     * Guards against a fault in which stopped clients occupied all connections until their time for
+     * sending a request was over, and the requests of others were not read meanwhile.
+     */
+    @Test
+    void usualRequestsAreServedWhileStoppedClientsReachTheConnectionLimit() throws Exception {
+        stopInRequests(StoppedRequest.LINE_OF_A_HEAD, MANY_STOPPED_CLIENTS);
+        assertUsualRequestsAreServed();
+        assertHealthy();
+        assertNoMemoryError();
+    }
+
     /** A sound client pauses between the pieces of its body while clients have stopped. */
     @Test
     void largeBodyInPiecesIsServedWhileClientsStopInRequests() throws Exception {
