During a shutdown, read half-closed connections for one second at most

Seen: a client that goes on sending after its last response kept a process that shuts down for 5 s, past the SIGKILL that follows SIGTERM after 3.7 s at the latest.

Cause: IdleSweeper reads and discards input of a half-closed connection for up to 5 s, so that the client does not lose its response by a reset; also while the process ends.

Change: 1 s during a shutdown.

--- a/sidecar/src/main/java/sagefall/proxy/downstream/IdleSweeper.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/IdleSweeper.java
@@ -38,6 +38,12 @@
      */
     private static final long LINGER_TIMEOUT_MILLIS = 5_000;
 
+    /**
+     * The same maximum during a shutdown. The process must exit, and all requests that a client may
+     * still expect to be answered have been read.
+     */
+    private static final long DRAIN_LINGER_TIMEOUT_MILLIS = 1_000;
+
     /**
      * Time without input after which a half-closed connection is closed. After this time, no more
      * bytes are expected to be in transit.
@@ -78,7 +84,7 @@
                 }
             }
             case LINGERING -> {
-                if (connection.millisInState() > LINGER_TIMEOUT_MILLIS
+                if (connection.millisInState() > lingerTimeoutMillis(connection)
                         || connection.millisWithoutInput() > LINGER_QUIET_TIMEOUT_MILLIS) {
                     connection.channel().close();
                 }
@@ -89,6 +95,12 @@
         }
     }
 
+    private static long lingerTimeoutMillis(ClientConnection connection) {
+        return connection.listener().isDraining()
+                ? DRAIN_LINGER_TIMEOUT_MILLIS
+                : LINGER_TIMEOUT_MILLIS;
+    }
+
     private static void checkStalls(ClientConnection connection) {
         // The exchange is null if the client has disconnected but the close is not reported yet.
         ClientExchange exchange = connection.exchange();
--- a/sidecar/src/test/java/sagefall/proxy/StoppedPeersTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StoppedPeersTest.java
@@ -234,4 +234,33 @@
         long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         assertTrue(elapsedMillis < 3_700, elapsedMillis + " ms");
     }
+
+    /**
+     * Guards against a fault in which a client that goes on sending after its response kept a
+     * process that shuts down for 5 s.
+     */
+    @Test
+    void clientThatGoesOnSendingDoesNotDelayTheShutdown() throws Exception {
+        TestClient client = closeAfterTest(new TestClient(program.address));
+        client.write("no request\r\n\r\n");
+        assertEquals(400, client.readResponse().status());
+        program.signal("TERM");
+        long startNanos = System.nanoTime();
+        long elapsedMillis = 0;
+        while (elapsedMillis < 10_000 && writes(client)) {
+            Thread.sleep(USUAL_INTERVAL_MILLIS);
+            elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        }
+        program.assertExitCode(0);
+        assertTrue(elapsedMillis < 3_000, elapsedMillis + " ms");
+    }
+
+    private static boolean writes(TestClient client) {
+        try {
+            client.write("x");
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
 }
