Move what a connection holds out of the two connection classes

Change: ClientBuffers and PartialResponse say what a connection holds and how it is dropped; the connections keep only their state. No behaviour changes. The interval of BufferMemory's log lines is one constant in nanoseconds.

--- a/sidecar/src/main/java/sagefall/buffer/BufferMemory.java
+++ b/sidecar/src/main/java/sagefall/buffer/BufferMemory.java
@@ -22,7 +22,7 @@
 public final class BufferMemory {
 
     /** Minimum time between two log lines. */
-    private static final long LOG_INTERVAL_MILLIS = 1_000;
+    private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final BufferLimits limits;
     private final HeapFallbackAllocator allocator;
@@ -35,7 +35,7 @@
 
     private long peakHeapBytes;
     private boolean lineDue;
-    private long lastLineNanos = System.nanoTime() - TimeUnit.SECONDS.toNanos(1);
+    private long lastLineNanos = System.nanoTime() - LOG_INTERVAL_NANOS;
 
     /** Creates the memory of a sidecar with the given limits. */
     public BufferMemory(BufferLimits limits, Consumer<String> log) {
@@ -134,7 +134,7 @@
 
     private void logDrops() {
         long now = System.nanoTime();
-        if (now - lastLineNanos < TimeUnit.MILLISECONDS.toNanos(LOG_INTERVAL_MILLIS)) {
+        if (now - lastLineNanos < LOG_INTERVAL_NANOS) {
             return;
         }
         lastLineNanos = now;
--- a/sidecar/src/main/java/sagefall/http/HttpClientConnection.java
+++ b/sidecar/src/main/java/sagefall/http/HttpClientConnection.java
@@ -13,11 +13,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
-import sagefall.buffer.BufferHolder;
 import sagefall.buffer.BufferMemory;
-import sagefall.buffer.BufferUse;
-import sagefall.buffer.HeapAccount;
 import sagefall.streaming.StreamingSettings;
 
 /**
@@ -30,7 +26,7 @@
  * connection. A response is reported only when everything that arrived with it has been read. The
  * report says whether surplus bytes followed the response.
  */
-public final class HttpClientConnection implements BufferHolder {
+public final class HttpClientConnection {
 
     /** Usual maximum size of a body that is buffered completely, in bytes. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
@@ -45,7 +41,7 @@
 
     private final BufferMemory memory;
     private final HttpConnectionListener listener;
-    private final HeapAccount fieldMemory;
+    private final PartialResponse partialResponse;
     private final ResponseDecoder decoder;
     private final ResponseHandler responseHandler = new ResponseHandler(this);
     private final Channel channel;
@@ -57,12 +53,6 @@
      */
     private long maxStreamedBytes;
 
-    /** Number of bytes that have been received since the last request was sent. */
-    private long receivedBytes;
-
-    /** Time at which the last request was sent or bytes last arrived, if that is later. */
-    private long lastProgressNanos = System.nanoTime();
-
     /**
      * Begins to connect.
      *
@@ -82,8 +72,8 @@
             HttpConnectionListener listener) {
         this.memory = memory;
         this.listener = listener;
-        fieldMemory = memory.newAccount();
-        decoder = new ResponseDecoder(fieldMemory);
+        partialResponse = new PartialResponse(this, memory);
+        decoder = new ResponseDecoder(partialResponse.fieldMemory());
         int connectTimeoutMillis = (int) Math.max(1, connectTimeoutMicros / MICROS_PER_MILLI);
         Bootstrap bootstrap =
                 new Bootstrap()
@@ -99,7 +89,7 @@
             bootstrap.option(
                     ChannelOption.RECVBUF_ALLOCATOR,
                     smallReadAllocator(StreamingSettings.READ_BYTES));
-            memory.register(this);
+            memory.register(partialResponse);
         }
         ChannelFuture connecting = bootstrap.connect(address);
         channel = connecting.channel();
@@ -125,7 +115,7 @@
     private void onClosed() {
         if (state != HttpConnectionState.CLOSED) {
             enter(HttpConnectionState.CLOSED);
-            memory.unregister(this);
+            memory.unregister(partialResponse);
             listener.connectionClosed();
         }
     }
@@ -236,14 +226,12 @@
     private void expectResponse(long newMaxStreamedBytes) {
         enter(HttpConnectionState.AWAITING_RESPONSE);
         maxStreamedBytes = newMaxStreamedBytes;
-        receivedBytes = 0;
-        lastProgressNanos = System.nanoTime();
+        partialResponse.begin();
     }
 
     /** Records that bytes of a response have been read. */
     void bytesReceived(int bytes) {
-        receivedBytes += bytes;
-        lastProgressNanos = System.nanoTime();
+        partialResponse.bytesReceived(bytes);
     }
 
     /** Drops buffers of connections if all of them together hold too much. */
@@ -251,29 +239,8 @@
         memory.enforceLimit();
     }
 
-    @Override
-    public BufferUse bufferUse() {
-        return BufferUse.ENDPOINT_RESPONSE;
-    }
-
-    /** Returns the size of a buffered response that is not complete. */
-    @Override
-    public long heldBytes() {
-        return state == HttpConnectionState.AWAITING_RESPONSE
-                ? receivedBytes + fieldMemory.bytes()
-                : 0;
-    }
-
-    @Override
-    public long quietMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastProgressNanos);
-    }
-
-    /** Drops the partial response and closes the connection; the close is reported later. */
-    @Override
-    public void dropBuffers() {
-        receivedBytes = 0;
-        fieldMemory.clear();
+    /** Frees what has been read of a response and closes the connection. */
+    void stopReading() {
         responseHandler.releaseCollected();
         channel.close();
         channel.pipeline().remove(decoder);
@@ -290,7 +257,7 @@
         }
         assert state.canBecome(next) : "HTTP connection: " + state + " cannot become " + next;
         state = next;
-        fieldMemory.clear();
+        partialResponse.fieldMemory().clear();
     }
 
     HttpConnectionState state() {
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
@@ -5,8 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -15,9 +13,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import sagefall.buffer.BufferHolder;
-import sagefall.buffer.BufferUse;
-import sagefall.buffer.HeapAccount;
 import sagefall.http.HttpClientConnection;
 
 /**
@@ -31,7 +26,7 @@
  * <p>One object serves as connection and as handler, which saves memory: there can be a thousand
  * connections.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements BufferHolder {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
 
     /**
      * Time after the accept during which a new connection is neither evicted nor half-closed by a
@@ -41,7 +36,7 @@
 
     private final DownstreamListener listener;
     private final Channel channel;
-    private final HeapAccount fieldMemory;
+    private final ClientBuffers buffers;
     private final RequestReader reader;
 
     /**
@@ -68,13 +63,10 @@
 
     private long lastInputNanos;
 
-    /** Number of bytes that have been read of the current request. */
-    private long requestBytes;
-
     ClientConnection(DownstreamListener listener, Channel channel) {
         this.listener = listener;
         this.channel = channel;
-        fieldMemory = listener.memory().newAccount();
+        buffers = new ClientBuffers(this, listener.memory());
         reader = new RequestReader(this);
         earliestConnectNanos = listener.loopClock().earliestArrivalNanos();
         acceptedInIteration = listener.loopClock().iterationNumber();
@@ -85,8 +77,7 @@
     private void enter(ClientConnectionState next) {
         state = state.transitionTo(next);
         stateSinceNanos = System.nanoTime();
-        requestBytes = 0;
-        fieldMemory.clear();
+        buffers.clear();
     }
 
     /**
@@ -182,7 +173,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) {
         if (updateStateForInput()) {
-            requestBytes += ((ByteBuf) bytes).readableBytes();
+            buffers.bytesRead(((ByteBuf) bytes).readableBytes());
             context.fireChannelRead(bytes);
             listener.memory().enforceLimit();
         } else {
@@ -264,45 +255,6 @@
         reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is held for unfinished requests");
     }
 
-    @Override
-    public BufferUse bufferUse() {
-        return state == ClientConnectionState.READING_REQUEST
-                ? BufferUse.CLIENT_REQUEST
-                : BufferUse.CLIENT_RESPONSE;
-    }
-
-    /** Returns the size of an unfinished request, or of a response that waits for the client. */
-    @Override
-    public long heldBytes() {
-        return switch (state) {
-            case READING_REQUEST -> requestBytes + fieldMemory.bytes() + unsentBytes();
-            case WRITING, WRITING_LAST -> unsentBytes();
-            default -> 0;
-        };
-    }
-
-    private long unsentBytes() {
-        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
-        return unsent == null ? 0 : unsent.totalPendingWriteBytes();
-    }
-
-    /** Returns the time for which no bytes have arrived and the state has not changed. */
-    @Override
-    public long quietMillis() {
-        return millisWithoutInput();
-    }
-
-    /** Rejects an unfinished request; resets the connection of a client that reads nothing. */
-    @Override
-    public void dropBuffers() {
-        if (state == ClientConnectionState.READING_REQUEST) {
-            rejectForMemory();
-        } else {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            channel.close();
-        }
-    }
-
     /**
      * Ends the current exchange, if there is one. Notifies the request handler that its response
      * can no longer be sent.
@@ -349,9 +301,9 @@
         return reader;
     }
 
-    /** Returns the account of the header fields of the current request. */
-    HeapAccount fieldMemory() {
-        return fieldMemory;
+    /** Returns what this connection holds for an unfinished message. */
+    ClientBuffers buffers() {
+        return buffers;
     }
 
     ClientConnectionState state() {
--- a/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
@@ -142,14 +142,14 @@
     void connectionOpened(ClientConnection connection) {
         shutdown.connectionAccepted(connection.acceptedAtNanos());
         connections.add(connection);
-        memory.register(connection);
+        memory.register(connection.buffers());
         limiter.adjustAccepting(listening);
     }
 
     /** Removes a connection whose channel is closed; another may be accepted in its place. */
     void connectionClosed(ClientConnection connection) {
         connections.remove(connection);
-        memory.unregister(connection);
+        memory.unregister(connection.buffers());
         limiter.adjustAccepting(listening);
     }
 
--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
@@ -54,7 +54,7 @@
 
     RequestReader(ClientConnection connection) {
         this.connection = connection;
-        decoder = new ClientRequestDecoder(connection.fieldMemory());
+        decoder = new ClientRequestDecoder(connection.buffers().fieldMemory());
     }
 
     /** Returns the decoder of this connection, to be added to its pipeline. */
