Test bed: reset of a connection that its own thread has closed already does nothing

Cause: kill sets the linger time of each open connection, and the connection's own thread may close the socket between the two steps.

Change: a socket that is closed already needs no reset; any other SocketException is thrown as before.

Measured: connectionThatIsClosedAlreadyNeedsNoReset brings about the state that the race leaves, a closed socket; the steps of kill threw there. LoadTest, DocumentationTest and the checks of both modules pass.

--- a/testbed/src/main/java/sagefall/load/StandInServer.java
+++ b/testbed/src/main/java/sagefall/load/StandInServer.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Set;
@@ -108,9 +109,20 @@
     synchronized void kill() throws IOException {
         listeningSocket.close();
         for (Socket socket : sockets) {
+            reset(socket);
+        }
+    }
+
+    /** Closes a connection with a reset, unless its own thread has closed it meanwhile. */
+    static void reset(Socket socket) throws IOException {
+        try {
             socket.setSoLinger(true, 0);
-            socket.close();
+        } catch (SocketException e) {
+            if (!socket.isClosed()) {
+                throw e;
+            }
         }
+        socket.close();
     }
 
     /**
--- a/testbed/src/test/java/sagefall/load/LoadTest.java
+++ b/testbed/src/test/java/sagefall/load/LoadTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -38,6 +39,15 @@
         server.kill();
     }
 
+    /** Guards against a race in which a connection's own thread closed it while it was reset. */
+    @Test
+    void connectionThatIsClosedAlreadyNeedsNoReset() throws Exception {
+        Socket socket = new Socket();
+        socket.close();
+        StandInServer.reset(socket);
+        assertTrue(socket.isClosed());
+    }
+
     /**
      * A watch returns the list once the list changes. If the list does not change within the hold
      * time, the watch returns no endpoints.
