--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -187,6 +187,11 @@
 
     /** Starts a sidecar by the deploy file; its log goes into the temporary folder. */
     Process start(int listen, int discovery, String config) throws IOException {
+        return start(listen, discovery, config, null);
+    }
+
+    /** The same with a file of extensions; null for none. */
+    Process start(int listen, int discovery, String config, String extensions) throws IOException {
         Path file = temporary.resolve("config.json");
         Files.writeString(file, config);
         Path home = Files.createTempDirectory(temporary, "tmp");
@@ -199,6 +204,11 @@
                 "LB_CONFIG", file.toString(),
                 "TMPDIR", home.toString()));
         builder.environment().remove("LB_EXTENSIONS");
+        if (extensions != null) {
+            Path extensionsFile = temporary.resolve("extensions.json");
+            Files.writeString(extensionsFile, extensions);
+            builder.environment().put("LB_EXTENSIONS", extensionsFile.toString());
+        }
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(temporary.toFile(), "sidecar.log")));
         Process process = builder.start();
