A response that surplus bytes follow is a failed attempt that may have run

Cause: the connection saw the bytes behind the response and reported it as not clean, but UpstreamConnection used that only to close the connection. A length that is too small and noise behind a good response look the same on the wire.

Change: ResponseEnding says what followed a response. With surplus bytes the attempt ends as one that may have run, so the idempotency of the class decides about a retry; complete copies of the response show that its length is right and are served as before. If the last read filled its buffer, one more read looks for surplus. A streamed response is aborted and its last parts are discarded, so that the client can tell. A collected response with a length and a transfer coding is rejected, as a streamed one was. A list from discovery with surplus is used, but the next call opens a connection.

Two tests are replaced: bytesAfterAResponseAreNotTakenForTheNextResponse and bytesAfterAResponseCloseOnlyTheServerConnection demanded that a response with noise behind it is served. They now demand that it is not served, and still that nothing of it reaches the next request; that copies are served is demanded as before.

What a good response with noise behind it costs now: one more attempt, or a 502 where the class permits none.

--- a/sidecar/src/main/java/sagefall/discovery/EndpointPoll.java
+++ b/sidecar/src/main/java/sagefall/discovery/EndpointPoll.java
@@ -16,6 +16,7 @@
 import sagefall.http.HttpClientConnection;
 import sagefall.http.HttpConnectionListener;
 import sagefall.http.ResponseBuffering;
+import sagefall.http.ResponseEnding;
 
 /**
  * Makes calls to discovery over one connection, one at a time. Each call ends with a response or a
@@ -49,8 +50,10 @@
         /**
          * Handles the response to the call. The response is released after this method has
          * returned.
+         *
+         * @param ending what had arrived behind the response
          */
-        void onResponse(FullHttpResponse response);
+        void onResponse(FullHttpResponse response, ResponseEnding ending);
 
         /** Handles the failure of the call, or the loss of the connection between two calls. */
         void onFailure(String reason);
@@ -148,14 +151,14 @@
         public void requestWritten() {}
 
         @Override
-        public void responseCollected(FullHttpResponse response, boolean clean) {
+        public void responseCollected(FullHttpResponse response, ResponseEnding ending) {
             if (closed) {
                 return;
             }
             reporting = true;
             try {
                 cancelTimeout();
-                listener.onResponse(response);
+                listener.onResponse(response, ending);
             } finally {
                 reporting = false;
             }
--- a/sidecar/src/main/java/sagefall/discovery/EndpointWatch.java
+++ b/sidecar/src/main/java/sagefall/discovery/EndpointWatch.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import sagefall.buffer.BufferMemory;
+import sagefall.http.ResponseEnding;
 
 /**
  * Watches the endpoint list by a series of long polls. Each response is followed by the next call,
@@ -138,7 +139,7 @@
     }
 
     @Override
-    public void onResponse(FullHttpResponse response) {
+    public void onResponse(FullHttpResponse response, ResponseEnding ending) {
         if (!response.status().equals(HttpResponseStatus.OK)) {
             onFailure("status " + response.status().code());
             return;
@@ -156,7 +157,7 @@
         }
         completeListRequired = false;
         revision = list.revision();
-        if (!HttpUtil.isKeepAlive(response)) {
+        if (!ending.isReusable() || !HttpUtil.isKeepAlive(response)) {
             disconnect();
         }
         scheduleNextCall(backoff.onResponse(!list.entries().isEmpty(), System.nanoTime()));
--- a/sidecar/src/main/java/sagefall/http/HttpClientConnection.java
+++ b/sidecar/src/main/java/sagefall/http/HttpClientConnection.java
@@ -1,6 +1,7 @@
 package sagefall.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -34,7 +35,6 @@
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2048;
 
-    /** One read that fills its buffer is followed by another, which finds surplus bytes. */
     private static final int READS_PER_ITERATION = 2;
 
     private static final int MICROS_PER_MILLI = 1000;
@@ -47,6 +47,9 @@
     private final Channel channel;
     private HttpConnectionState state = HttpConnectionState.CONNECTING;
 
+    /** Whether the last read filled its buffer, so that more input may be pending. */
+    private boolean filledReadBuffer;
+
     /**
      * Maximum length of a streamed response body, in bytes; 0 if the response is buffered
      * completely.
@@ -153,6 +156,7 @@
 
     /** Reads what has arrived so far. Must not be called from the listener's methods. */
     public void readAvailable() {
+        filledReadBuffer = false;
         readAvailableFrom(channel);
     }
 
@@ -229,9 +233,15 @@
         partialResponse.begin();
     }
 
-    /** Records that bytes of a response have been read. */
-    void bytesReceived(int bytes) {
-        partialResponse.bytesReceived(bytes);
+    /** Records that bytes of a response have been read. The bytes remain owned by the caller. */
+    void bytesReceived(ByteBuf bytes) {
+        filledReadBuffer = !bytes.isWritable();
+        partialResponse.bytesReceived(bytes.readableBytes());
+    }
+
+    /** Returns whether the last read filled its buffer, so that more input may be pending. */
+    boolean hasFilledReadBuffer() {
+        return filledReadBuffer;
     }
 
     /** Drops buffers of connections if all of them together hold too much. */
--- a/sidecar/src/main/java/sagefall/http/HttpConnectionListener.java
+++ b/sidecar/src/main/java/sagefall/http/HttpConnectionListener.java
@@ -26,10 +26,9 @@
      *
      * @param response the response; the connection owns the response and releases it when this
      *     method returns
-     * @param clean true if nothing arrived beyond the response; if false, the connection cannot be
-     *     reused
+     * @param ending what had arrived behind the response
      */
-    void responseCollected(FullHttpResponse response, boolean clean);
+    void responseCollected(FullHttpResponse response, ResponseEnding ending);
 
     /**
      * Called when a streamed response has begun. Its status is 200, and its headers define where
@@ -46,17 +45,25 @@
         part.release();
     }
 
-    /** Called when all parts from one read of the socket have been reported. */
+    /**
+     * Called when all parts from one read of the socket have been reported. Not called for the last
+     * parts of a response that surplus bytes follow.
+     */
     default void responseReadComplete() {}
 
     /**
      * Called when the last part of a streamed response has been reported.
      *
      * @param trailers the trailers as the server sent them; may be empty
-     * @param clean true if nothing arrived beyond the response; if false, the connection cannot be
-     *     reused
+     * @param ending what had arrived behind the response
+     */
+    default void responseFinished(HttpHeaders trailers, ResponseEnding ending) {}
+
+    /**
+     * Called when bytes have arrived while no request is outstanding. The connection is then
+     * closed.
      */
-    default void responseFinished(HttpHeaders trailers, boolean clean) {}
+    default void unsolicitedInput() {}
 
     /**
      * Called when the connection could not be established, failed, or was closed by either side. No
--- a/sidecar/src/main/java/sagefall/http/ResponseDecoder.java
+++ b/sidecar/src/main/java/sagefall/http/ResponseDecoder.java
@@ -28,6 +28,17 @@
         return super.createMessage(initialLine);
     }
 
+    /**
+     * Rejects a response that has both a length and a transfer coding: one of the two is wrong (RFC
+     * 9112, 6.3).
+     *
+     * @throws IllegalArgumentException always
+     */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("response has a length and a transfer coding");
+    }
+
     /** Records that a message is complete. Later input belongs to another message. */
     void messageEnded() {
         messageBegun = false;
--- a/sidecar/src/main/java/sagefall/http/ResponseHandler.java
+++ b/sidecar/src/main/java/sagefall/http/ResponseHandler.java
@@ -41,8 +41,8 @@
     /** Number of bytes that the streamed response may still contain. */
     private long remainingStreamBytes;
 
-    /** Whether more than one response, or undecodable input, has arrived; never reset. */
-    private boolean surplusReceived;
+    /** Never reset, because a connection that received surplus input is not used again. */
+    private final SurplusDetector surplus = new SurplusDetector();
 
     ResponseHandler(HttpClientConnection connection) {
         this.connection = connection;
@@ -66,11 +66,12 @@
     private void onStreamedHead(ChannelHandlerContext context, HttpResponse head) {
         long length = HttpUtil.getContentLength(head, -1L);
         if (connection.state().hasResponse()) {
-            surplusReceived = true;
+            surplus.followedByHead(head);
         } else if (head.decoderResult().isFailure() || !isStreamable(head, length)) {
             context.close();
         } else {
             connection.enter(HttpConnectionState.STREAMING_RESPONSE);
+            surplus.responseReceived(head);
             remainingStreamBytes = connection.maxStreamedBytes();
             connection.listener().responseStarted(head);
         }
@@ -98,7 +99,9 @@
 
     private void onStreamedPart(ChannelHandlerContext context, HttpContent part) {
         if (connection.state() != HttpConnectionState.STREAMING_RESPONSE) {
-            surplusReceived = true;
+            if (surplus.followedByPart(part)) {
+                connection.decoder().messageEnded();
+            }
             return;
         }
         remainingStreamBytes -= part.content().readableBytes();
@@ -122,7 +125,7 @@
     private void onCollectedResponse(ChannelHandlerContext context, FullHttpResponse response) {
         connection.decoder().messageEnded();
         if (connection.state().hasResponse()) {
-            surplusReceived = true;
+            surplus.followedBy(collected, response);
         } else if (isInterim(response)) {
             // One or more interim responses may precede the final response.
             return;
@@ -136,6 +139,7 @@
             context.close();
         } else {
             connection.enter(HttpConnectionState.RESPONSE_COLLECTED);
+            surplus.responseReceived(response);
             collected = response.retain();
         }
     }
@@ -147,24 +151,34 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        HttpConnectionState state = connection.state();
-        if (state == HttpConnectionState.STREAMING_RESPONSE
-                || state == HttpConnectionState.RESPONSE_STREAMED) {
-            connection.listener().responseReadComplete();
+        if (isResponseComplete() && connection.hasFilledReadBuffer() && !surplus.hasSurplus()) {
+            // More input may be pending, and it may be surplus. This call handles the pending input
+            // by a nested call of this method.
+            connection.readAvailable();
         }
         if (trailers != null) {
             reportStreamedEnd(context);
         } else if (collected != null) {
             reportCollected(context);
+        } else if (connection.state() == HttpConnectionState.STREAMING_RESPONSE) {
+            connection.listener().responseReadComplete();
         }
         context.fireChannelReadComplete();
     }
 
+    private boolean isResponseComplete() {
+        return trailers != null || collected != null;
+    }
+
     private void reportStreamedEnd(ChannelHandlerContext context) {
         HttpHeaders receivedTrailers = trailers;
         trailers = null;
+        ResponseEnding ending = ending(context);
+        if (ending != ResponseEnding.SURPLUS) {
+            connection.listener().responseReadComplete();
+        }
         connection.enter(HttpConnectionState.IDLE);
-        connection.listener().responseFinished(receivedTrailers, isClean(context));
+        connection.listener().responseFinished(receivedTrailers, ending);
     }
 
     private void reportCollected(ChannelHandlerContext context) {
@@ -172,18 +186,23 @@
         collected = null;
         connection.enter(HttpConnectionState.IDLE);
         try {
-            connection.listener().responseCollected(response, isClean(context));
+            connection.listener().responseCollected(response, ending(context));
         } finally {
             response.release();
         }
     }
 
-    /** Returns whether neither bytes nor the end of the input arrived after the response. */
-    private boolean isClean(ChannelHandlerContext context) {
-        return !surplusReceived
-                && connection.decoder().isEmpty()
-                && context.channel().isActive()
-                && !((SocketChannel) context.channel()).isInputShutdown();
+    private ResponseEnding ending(ChannelHandlerContext context) {
+        if (surplus.hasSurplus() || !connection.decoder().isEmpty()) {
+            return ResponseEnding.SURPLUS;
+        }
+        if (surplus.hasCopy()) {
+            return ResponseEnding.DUPLICATED;
+        }
+        boolean open =
+                context.channel().isActive()
+                        && !((SocketChannel) context.channel()).isInputShutdown();
+        return open ? ResponseEnding.REUSABLE : ResponseEnding.CONNECTION_ENDED;
     }
 
     /**
@@ -206,7 +225,7 @@
     /** Closes the connection after an I/O or decoding error. The close notifies the listener. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        surplusReceived = true;
+        surplus.unreadableInput();
         context.close();
     }
 }
--- a/sidecar/src/main/java/sagefall/http/UnsolicitedInputGate.java
+++ b/sidecar/src/main/java/sagefall/http/UnsolicitedInputGate.java
@@ -24,11 +24,12 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) {
         if (connection.state().expectsInput()) {
-            connection.bytesReceived(((ByteBuf) bytes).readableBytes());
+            connection.bytesReceived((ByteBuf) bytes);
             context.fireChannelRead(bytes);
             connection.enforceBufferLimit();
         } else {
             ReferenceCountUtil.release(bytes);
+            connection.listener().unsolicitedInput();
             context.close();
         }
     }
--- a/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
+++ b/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
@@ -288,6 +288,11 @@
         streamedResponses.flush(attempt);
     }
 
+    @Override
+    public void responseInvalid(ForwardedAttempt attempt) {
+        streamedResponses.discardUnflushed(attempt);
+    }
+
     @Override
     public void responseFinished(ForwardedAttempt attempt, HttpHeaders trailers) {
         streamedResponses.finish(attempt, trailers);
--- a/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
+++ b/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
@@ -79,6 +79,9 @@
          */
         default void endStreamedResponse(HttpHeaders trailers, Runnable onWritten) {}
 
+        /** Makes {@link #abortResponse} discard what has not been flushed. */
+        default void discardUnflushed() {}
+
         /**
          * Ends a streamed response early, so that the client can tell that the response is
          * incomplete.
--- a/sidecar/src/main/java/sagefall/proxy/StreamedResponses.java
+++ b/sidecar/src/main/java/sagefall/proxy/StreamedResponses.java
@@ -84,6 +84,13 @@
         }
     }
 
+    /** Discards the parts that have not been flushed, so that the client can't take them. */
+    void discardUnflushed(ForwardedAttempt attempt) {
+        if (!attempt.request.completed) {
+            attempt.request.client.discardUnflushed();
+        }
+    }
+
     /**
      * Ends a response that the endpoint has sent completely. The request stays in flight until the
      * whole response has been written to the client's socket.
--- a/sidecar/src/main/java/sagefall/proxy/WarmUpClient.java
+++ b/sidecar/src/main/java/sagefall/proxy/WarmUpClient.java
@@ -7,6 +7,7 @@
 import sagefall.http.HttpClientConnection;
 import sagefall.http.HttpConnectionListener;
 import sagefall.http.ResponseBuffering;
+import sagefall.http.ResponseEnding;
 
 /**
  * Sends the requests of the warm-up on one connection, each as soon as the response to the previous
@@ -76,8 +77,8 @@
      * @param response the response, which remains owned by the connection
      */
     @Override
-    public void responseCollected(FullHttpResponse response, boolean clean) {
-        if (progress.onResponse() && clean) {
+    public void responseCollected(FullHttpResponse response, ResponseEnding ending) {
+        if (progress.onResponse() && ending.isReusable()) {
             // The next request is sent in a later task, because the connection has not released the
             // response yet.
             loop.execute(() -> connection.send(requests.next()));
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
@@ -140,9 +140,11 @@
     }
 
     /**
-     * Sends the written part of a response that cannot be completed, then closes the connection.
+     * Closes the connection of a response that cannot be completed.
+     *
+     * @param flushes whether the written part of the response is sent before the close
      */
-    void abortResponse(ClientExchange aborted) {
+    void abortResponse(ClientExchange aborted, boolean flushes) {
         // The transition is illegal if the client has disconnected in this event loop iteration, or
         // if an earlier abort is still in progress.
         if (state.canBecome(ClientConnectionState.LINGERING)) {
@@ -151,7 +153,9 @@
         if (carries(aborted)) {
             abandonExchange();
         }
-        channel.flush();
+        if (flushes) {
+            channel.flush();
+        }
         channel.close();
     }
 
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientExchange.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientExchange.java
@@ -51,6 +51,9 @@
      */
     private boolean endsByClose;
 
+    /** Whether an abort of the response discards what has been written and not been flushed. */
+    private boolean discardsUnflushed;
+
     /** The body of the request if it is streamed, else null. */
     private StreamedUpload upload;
 
@@ -258,12 +261,17 @@
         connection.responseWritten();
     }
 
+    @Override
+    public void discardUnflushed() {
+        discardsUnflushed = true;
+    }
+
     @Override
     public void abortResponse() {
         if (endsByClose) {
             channel().config().setOption(ChannelOption.SO_LINGER, 0);
         }
-        connection.abortResponse(this);
+        connection.abortResponse(this, !discardsUnflushed);
     }
 
     /** Resets the connection of a client that reads nothing; unsent data is discarded. */
--- a/sidecar/src/main/java/sagefall/proxy/upstream/AttemptListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/AttemptListener.java
@@ -68,6 +68,12 @@
     /** Called when all parts that one read of the socket returned have been reported. */
     default void responseReadComplete(ForwardedAttempt attempt) {}
 
+    /**
+     * Called when the end of a streamed response has arrived and is not valid. The parts since the
+     * last {@link #responseReadComplete} must not reach the client. The attempt ends later.
+     */
+    default void responseInvalid(ForwardedAttempt attempt) {}
+
     /**
      * Called when a streamed response is complete and the attempt is detached from its connection.
      */
--- a/sidecar/src/main/java/sagefall/proxy/upstream/UpstreamConnection.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/UpstreamConnection.java
@@ -10,6 +10,7 @@
 import sagefall.balancer.api.LoadReport;
 import sagefall.http.HttpClientConnection;
 import sagefall.http.HttpConnectionListener;
+import sagefall.http.ResponseEnding;
 import sagefall.proxy.ForwardedAttempt;
 
 /**
@@ -186,11 +187,13 @@
      * Ends the attempt with a buffered response. All steps that may throw run while the connection
      * still carries the attempt. After an exception, the close of the connection then ends the
      * attempt. A response that arrives before the request is written is valid only if it rejects an
-     * upload.
+     * upload. A response that surplus bytes follow may be incomplete, so the attempt ends with the
+     * close of the connection, as an attempt that the endpoint has possibly executed.
      */
     @Override
-    public void responseCollected(FullHttpResponse response, boolean clean) {
+    public void responseCollected(FullHttpResponse response, ResponseEnding ending) {
         if (attempt == null
+                || ending == ResponseEnding.SURPLUS
                 || (!attempt.written && !UpstreamResponses.rejectsUpload(attempt, response))) {
             connection.close();
             return;
@@ -198,7 +201,7 @@
         ForwardedAttempt ended = attempt;
         AttemptResult result = UpstreamResponses.result(response);
         LoadReport report = UpstreamResponses.loadReport(response);
-        becomeIdleOrClose(clean && ended.written && HttpUtil.isKeepAlive(response));
+        becomeIdleOrClose(ending.isReusable() && ended.written && HttpUtil.isKeepAlive(response));
         endpoint.pool().end(ended, result, report, response);
     }
 
@@ -243,15 +246,20 @@
     }
 
     @Override
-    public void responseFinished(HttpHeaders trailers, boolean clean) {
+    public void responseFinished(HttpHeaders trailers, ResponseEnding ending) {
         if (attempt == null) {
             connection.close();
             return;
         }
+        if (ending == ResponseEnding.SURPLUS) {
+            listener().responseInvalid(attempt);
+            connection.close();
+            return;
+        }
         ForwardedAttempt ended = attempt;
         endpoint.pool().release(ended);
         connection.setReading(true);
-        becomeIdleOrClose(clean && keepAlive);
+        becomeIdleOrClose(ending.isReusable() && keepAlive);
         listener().responseFinished(ended, trailers);
     }
 
--- a/sidecar/src/test/java/sagefall/http/HttpClientConnectionTest.java
+++ b/sidecar/src/test/java/sagefall/http/HttpClientConnectionTest.java
@@ -27,6 +27,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import sagefall.buffer.BufferLimits;
 import sagefall.buffer.BufferMemory;
 
@@ -45,6 +47,9 @@
     /** Maximum bytes of a streamed response in tests that stream. */
     private static final int MAX_STREAMED_BYTES = 10;
 
+    private static final String RESPONSE = "HTTP/1.1 200 OK\nContent-Length: 2\n\nok";
+    private static final String OTHER_RESPONSE = "HTTP/1.1 200 OK\nContent-Length: 2\n\nno";
+
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -67,8 +72,8 @@
         }
 
         @Override
-        public void responseCollected(FullHttpResponse response, boolean clean) {
-            events.add("collected " + response.content().toString(US_ASCII) + " clean=" + clean);
+        public void responseCollected(FullHttpResponse response, ResponseEnding ending) {
+            events.add("collected " + response.content().toString(US_ASCII) + " " + ending);
         }
 
         @Override
@@ -83,8 +88,13 @@
         }
 
         @Override
-        public void responseFinished(HttpHeaders trailers, boolean clean) {
-            events.add("finished clean=" + clean);
+        public void responseFinished(HttpHeaders trailers, ResponseEnding ending) {
+            events.add("finished " + ending);
+        }
+
+        @Override
+        public void unsolicitedInput() {
+            events.add("unsolicited");
         }
 
         @Override
@@ -209,19 +219,77 @@
     void connectionIsReusableAfterACleanResponse() throws Exception {
         try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
             write(peer, "HTTP/1.1 200 OK\nContent-Length: 2\n\nok");
-            assertEquals("collected ok clean=true", nextEvent());
+            assertEquals("collected ok REUSABLE", nextEvent());
             sendRequest(NOT_STREAMED);
             write(peer, "HTTP/1.1 200 OK\nContent-Length: 3\n\ntwo");
-            assertEquals("collected two clean=true", nextEvent());
+            assertEquals("collected two REUSABLE", nextEvent());
             assertNoFurtherEvent();
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"HTTP/1.1", "x", "noise\n\n", "HTTP/1.1 100 Continue\n\n", OTHER_RESPONSE})
+    void surplusBytesAfterAResponseAreReported(String surplus) throws Exception {
+        try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
+            write(peer, RESPONSE + surplus);
+            assertEquals("collected ok SURPLUS", nextEvent());
+        }
+    }
+
+    @Test
+    void copyOfAResponseIsToldFromSurplusBytes() throws Exception {
+        try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
+            write(peer, RESPONSE + RESPONSE);
+            assertEquals("collected ok DUPLICATED", nextEvent());
+        }
+    }
+
+    /**
+     * Guards against a fault in which surplus bytes were not noticed if the response ended where a
+     * read ended. The sizes are those of the first read and of the first two reads together.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {2048, 2048 + 16 * 1024})
+    void surplusBytesAreReportedIfTheResponseFillsTheReads(int responseBytes) throws Exception {
+        try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
+            String head = String.format("HTTP/1.1 200 OK\nContent-Length: %05d\n\n", 0);
+            int bodyBytes = responseBytes - head.replace("\n", "\r\n").length();
+            String body = "b".repeat(bodyBytes);
+            write(peer, head.replace("00000", String.format("%05d", bodyBytes)) + body + "x");
+            assertEquals("collected " + body + " SURPLUS", nextEvent());
+        }
+    }
+
+    /** Two statements of where a response ends contradict each other, or may do so. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 2\nContent-Length: 2",
+                "Content-Length: 2\nContent-Length: 3",
+                "Content-Length: 2\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\nContent-Length: 2"
+            })
+    void responseWithTwoLengthsClosesTheConnection(String fields) throws Exception {
+        try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
+            write(peer, "HTTP/1.1 200 OK\n" + fields + "\n\n2\nok\n0\n\n");
+            assertClosedOnce();
+        }
+    }
+
+    @Test
+    void bytesAfterTheLastChunkAreReported() throws Exception {
+        try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
+            write(peer, "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n1\nx\n");
+            assertEquals("collected ok SURPLUS", nextEvent());
+        }
+    }
+
     @Test
-    void responseWithSurplusBytesIsNotClean() throws Exception {
+    void bodyOfAResponseWithoutContentIsReportedAsSurplus() throws Exception {
         try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
-            write(peer, "HTTP/1.1 200 OK\nContent-Length: 2\n\nokHTTP/1.1");
-            assertEquals("collected ok clean=false", nextEvent());
+            write(peer, "HTTP/1.1 204 No Content\nContent-Length: 2\n\nok");
+            assertEquals("collected  SURPLUS", nextEvent());
         }
     }
 
@@ -229,6 +297,7 @@
     void unsolicitedBytesCloseAnIdleConnection() throws Exception {
         try (Socket peer = connectAndAccept()) {
             write(peer, "H");
+            assertEquals("unsolicited", nextEvent());
             assertClosedOnce();
         }
     }
@@ -239,7 +308,7 @@
             write(peer, "HTTP/1.1 200 OK\n\nok");
             assertNoFurtherEvent();
             peer.shutdownOutput();
-            assertEquals("collected ok clean=false", nextEvent());
+            assertEquals("collected ok CONNECTION_ENDED", nextEvent());
             assertClosedOnce();
         }
     }
@@ -259,7 +328,7 @@
     void informationalResponsesAreSkipped() throws Exception {
         try (Socket peer = connectAndSendRequest(NOT_STREAMED)) {
             write(peer, "HTTP/1.1 103 Early Hints\n\nHTTP/1.1 200 OK\nContent-Length: 2\n\nok");
-            assertEquals("collected ok clean=true", nextEvent());
+            assertEquals("collected ok REUSABLE", nextEvent());
         }
     }
 
@@ -271,7 +340,7 @@
             assertEquals("part ab", nextEvent());
             write(peer, "1\nc\n0\n\n");
             assertEquals("part c", nextEvent());
-            assertEquals("finished clean=true", nextEvent());
+            assertEquals("finished REUSABLE", nextEvent());
             assertNoFurtherEvent();
         }
     }
@@ -298,7 +367,7 @@
     void responseWithAStatusOtherThan200IsBufferedInsteadOfStreamed() throws Exception {
         try (Socket peer = connectAndSendRequest(MAX_STREAMED_BYTES)) {
             write(peer, "HTTP/1.1 503 No\nContent-Length: 2\n\nno");
-            assertEquals("collected no clean=true", nextEvent());
+            assertEquals("collected no REUSABLE", nextEvent());
         }
     }
 }
--- a/sidecar/src/test/java/sagefall/proxy/MalformedTrafficTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/MalformedTrafficTest.java
@@ -1,6 +1,7 @@
 package sagefall.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -68,21 +69,60 @@
      */
     @ParameterizedTest
     @ValueSource(
-            strings = {RESPONSE_HEAD + "copy", "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\n"})
+            strings = {
+                RESPONSE_HEAD + "mine",
+                RESPONSE_HEAD + "copy",
+                "noise",
+                "noise\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n"
+            })
     void bytesAfterAResponseAreNotTakenForTheNextResponse(String surplus) throws Exception {
         ScriptedPeer server = server(ScriptedPeer.SILENT);
         SidecarHarness harness = harness(server);
         harness.start((settings, actions) -> new ChainingBalancer(actions));
-        TestClient first = harness.client().search(5_000);
+        TestClient first = harness.client().search(1_000);
         ReceivedRequest received = server.take();
         TestClient second = harness.client().search(5_000);
         // The event loop reads the connections in order. When the sidecar has rejected this
         // malformed request, it has read the second request.
         assertEquals(400, harness.client().write("x\r\n\r\n").readResponse().status());
         received.write(RESPONSE_HEAD + "mine" + surplus);
-        assertEquals("mine", first.readResponse().body());
         server.take().respond("200 OK", "", "other");
         assertEquals("other", second.readResponse().body());
+        HttpMessages.Message firstResponse = first.readResponse();
+        if (surplus.equals(RESPONSE_HEAD + "mine")) {
+            assertEquals("mine", firstResponse.body());
+        } else {
+            assertEquals(504, firstResponse.status());
+        }
+    }
+
+    /**
+     * Guards against a fault in which a response whose length is too small was served cut short.
+     * The request may have run, so only its idempotency permits another attempt.
+     */
+    @Test
+    void responseWhoseLengthIsTooSmallIsAFailedAttempt() throws Exception {
+        ScriptedPeer server = server(received -> received.write(RESPONSE_HEAD + "mine and more"));
+        SidecarHarness harness = sidecar(server);
+        assertEquals(502, harness.client().book("x", 2_000).readResponse().status());
+        assertEquals(1, server.receivedRequests.size());
+    }
+
+    @Test
+    void idempotentRequestIsRetriedAfterAResponseWhoseLengthIsTooSmall() throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        ScriptedPeer.Script script =
+                received -> {
+                    if (attempts.incrementAndGet() == 1) {
+                        received.write(RESPONSE_HEAD + "mine and more");
+                    } else {
+                        received.respond("200 OK", "", "whole");
+                    }
+                };
+        SidecarHarness harness = sidecar(server(script), server(script));
+        assertEquals("whole", harness.client().search(5_000).readResponse().body());
+        assertEquals(2, attempts.get());
     }
 
     @Test
@@ -313,6 +353,19 @@
         assertEquals(500, harness.client().search(2_000).readResponse().status());
     }
 
+    /** Guards against a fault in which the next call used a connection with surplus bytes. */
+    @Test
+    void surplusBytesAfterAnEndpointListEndTheConnectionToDiscovery() throws Exception {
+        ScriptedPeer server = server(ScriptedPeer.respondsOk("ok"));
+        SidecarHarness harness = sidecar(server);
+        ReceivedRequest call = harness.discovery.take();
+        String list = SidecarHarness.json(SidecarHarness.list(7, true, "in_service", server));
+        call.write("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list + "x");
+        ReceivedRequest next = harness.discovery.take();
+        assertTrue(next.request().startLine().contains("from=7&"), next.request().startLine());
+        assertNotEquals(call.socket(), next.socket());
+    }
+
     @Test
     void endpointListLargerThanTheDefaultBodyLimitIsApplied() throws Exception {
         ScriptedPeer server = server(ScriptedPeer.respondsOk("ok"));
--- a/sidecar/src/test/java/sagefall/proxy/StreamedResponseTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StreamedResponseTest.java
@@ -173,12 +173,43 @@
         upstream.awaitEnd();
     }
 
+    /**
+     * Guards against a fault in which a response whose length is too small reached the client as a
+     * complete response.
+     */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny", "noise\r\n\r\n", "x"})
-    void bytesAfterAResponseCloseOnlyTheServerConnection(String following) throws Exception {
+    @ValueSource(
+            strings = {
+                "Content-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny",
+                "Content-Length: 3\r\n\r\nabcnoise\r\n\r\n",
+                "Content-Length: 3\r\n\r\nabcx",
+                "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nx"
+            })
+    void clientCanTellThatSurplusBytesFollowedAResponse(String response) throws Exception {
+        start("");
+        RawConnection upstream = sendExport(client);
+        upstream.write("HTTP/1.1 200 OK\r\n" + response);
+        assertThrows(
+                IOException.class,
+                () -> {
+                    if (client.head().header("Content-Length") == null) {
+                        client.chunks();
+                    }
+                    client.bytes(3);
+                });
+        upstream.awaitEnd();
+        try (RawConnection other = connect()) {
+            other.write(exportRequest(2_000));
+            acceptRequest().write(OK_WITHOUT_BODY);
+            assertStatus(200, other);
+        }
+    }
+
+    @Test
+    void copyOfAResponseClosesOnlyTheServerConnection() throws Exception {
         start("");
         RawConnection upstream = sendExport(client);
-        upstream.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc" + following);
+        upstream.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc".repeat(2));
         client.head();
         assertEquals("abc", client.text(3));
         upstream.awaitEnd();
@@ -198,6 +229,8 @@
                 "book | Content-Length: 3000000000",
                 "export | Content-Length: 3000000000",
                 "export | Content-Length: 2\\r\\nTransfer-Encoding: chunked",
+                "book | Content-Length: 2\\r\\nTransfer-Encoding: chunked",
+                "book | Content-Length: 2\\r\\nContent-Length: 2",
                 "export | Content-Length: 2\\r\\nContent-Length: 3",
                 "export | Transfer-Encoding: gzip, chunked",
                 "export | Content-Type: text/x",
