Connections are reused only after the latest second response over the network

Cause: a connection was reused 20 ms after a response. That allows for the lateness of the server and not for the network, which may delay the second response more than the first.

Change: ReuseDelay adds an allowance for the network, the decaying maximum of the durations of exchanges with the endpoint, 60 ms at the most and at the beginning. Surplus bytes on any connection to an endpoint hold the delay at 80 ms or at twice the longest lateness seen, 250 ms at the most, and the connection idle longest is then taken first. The event surplus_input_received has the endpoint and the lateness, and so tells a delay that is too short from one that is not kept.

Weighed and not used, with reasons in the incident: the time to connect (a relay accepts at once), the longest idle first for all, no reuse for endpoints that have sent surplus bytes, one more read before the write, responses that come too soon as failures.

The tests that waited for twice the old constant wait for twice the delay of an endpoint that sent no surplus; mostRecentlyUsedIdleConnectionIsReused stands.

--- a/sidecar/src/main/java/sagefall/logging/LogEvent.java
+++ b/sidecar/src/main/java/sagefall/logging/LogEvent.java
@@ -18,6 +18,11 @@
     ENDPOINT_EJECTED("endpoint_ejected", LogLevel.WARN),
     /** An ejected endpoint responds again and is back in rotation. */
     ENDPOINT_READMITTED("endpoint_readmitted", LogLevel.INFO),
+    /**
+     * An endpoint has sent bytes that belong to no response. Its connections are reused later from
+     * now on.
+     */
+    SURPLUS_INPUT_RECEIVED("surplus_input_received", LogLevel.WARN),
     /**
      * A request on an idle connection got no response. The balancer avoids idle connections for a
      * while.
--- a/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
+++ b/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import sagefall.balancer.api.AttemptResult;
 import sagefall.balancer.api.LoadReport;
 import sagefall.buffer.BufferMemory;
@@ -52,7 +53,8 @@
             BufferMemory memory,
             BalancerDriver driver,
             InFlightRequests requests,
-            ResponseWriter responses) {
+            ResponseWriter responses,
+            Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
         this.driver = driver;
@@ -60,7 +62,7 @@
         this.responses = responses;
         outcomes = new OutcomeReporter(driver, requests);
         streamedResponses = new StreamedResponses(driver, requests, outcomes);
-        pool = new ConnectionPool(loop, clock, config, memory, this);
+        pool = new ConnectionPool(loop, clock, config, memory, this, log);
     }
 
     /** Returns the pool of the connections that the attempts use. */
--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -88,7 +88,8 @@
                         this::readDiscovery,
                         this::abortAfterFailure,
                         log);
-        forwarder = new AttemptForwarder(loop, clock, config, memory, driver, requests, responses);
+        forwarder =
+                new AttemptForwarder(loop, clock, config, memory, driver, requests, responses, log);
         pool = forwarder.pool();
         recorder = new EndpointRecorder(config.endpointListCodec());
         endpointUpdates = new EndpointUpdates(driver, pool, recorder, this::onDiscoveryResult);
--- a/sidecar/src/main/java/sagefall/proxy/upstream/ConnectionPool.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/ConnectionPool.java
@@ -8,14 +8,18 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import sagefall.balancer.api.AttemptResult;
 import sagefall.balancer.api.ListedEndpoint;
 import sagefall.balancer.api.LoadReport;
 import sagefall.buffer.BufferMemory;
 import sagefall.config.SidecarConfig;
+import sagefall.config.SocketAddresses;
 import sagefall.discovery.EndpointList;
 import sagefall.http.HttpClientConnection;
 import sagefall.http.ResponseBuffering;
+import sagefall.logging.LogEvent;
+import sagefall.logging.LogLine;
 import sagefall.proxy.ForwardedAttempt;
 import sagefall.proxy.WallClock;
 
@@ -27,11 +31,10 @@
 public final class ConnectionPool {
 
     /**
-     * Time, in microseconds, after a response during which the connection is not reused. A
-     * duplicate of the response may arrive within this time and would be read as the response to
-     * the next request.
+     * Time, in microseconds, after a response within which a connection is reused to no endpoint
+     * that has sent no surplus input.
      */
-    public static final long REUSE_DELAY_MICROS = 20_000;
+    public static final long INITIAL_REUSE_DELAY_MICROS = ReuseDelay.INITIAL_MICROS;
 
     /** Number of checks for expired idle connections within one idle timeout. */
     private static final int SWEEPS_PER_IDLE_TIMEOUT = 10;
@@ -42,6 +45,7 @@
     private final EventLoop loop;
     private final WallClock clock;
     private final AttemptListener listener;
+    private final Consumer<String> log;
     private final int maxConnections;
     private final long connectTimeoutMicros;
     private final long idleTimeoutMicros;
@@ -58,7 +62,9 @@
             WallClock clock,
             SidecarConfig config,
             BufferMemory memory,
-            AttemptListener listener) {
+            AttemptListener listener,
+            Consumer<String> log) {
+        this.log = log;
         this.loop = loop;
         this.clock = clock;
         this.memory = memory;
@@ -116,9 +122,9 @@
     }
 
     /**
-     * Sends an attempt on the most recently used reusable connection. If there is none, opens a new
-     * connection and sends the attempt once that connection is established. Reports the result to
-     * the listener, possibly during this call.
+     * Sends an attempt on a reusable connection, see {@link PooledEndpoint#takeReusable}. If there
+     * is none, opens a new connection and sends the attempt once that connection is established.
+     * Reports the result to the listener, possibly during this call.
      */
     public void send(ForwardedAttempt attempt) {
         PooledEndpoint endpoint = endpoints.get(attempt.endpointId);
@@ -249,6 +255,15 @@
         return connection;
     }
 
+    /** Logs the first surplus input from an endpoint. */
+    void logSurplus(PooledEndpoint endpoint, long idleMicros) {
+        log.accept(
+                LogLine.of(LogEvent.SURPLUS_INPUT_RECEIVED)
+                        .with("endpoint", SocketAddresses.format(endpoint.address()))
+                        .with("idle_us", idleMicros)
+                        .toString());
+    }
+
     AttemptListener listener() {
         return listener;
     }
--- a/sidecar/src/main/java/sagefall/proxy/upstream/PooledEndpoint.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/PooledEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import sagefall.balancer.api.EndpointPhase;
 import sagefall.balancer.api.ListedEndpoint;
 import sagefall.discovery.EndpointList;
@@ -35,6 +36,8 @@
     /** Number of connections that are not closed. */
     private int connectionCount;
 
+    private final ReuseDelay reuseDelay = new ReuseDelay();
+
     /** Idle connections; the most recently used is the last. */
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
 
@@ -124,17 +127,20 @@
     }
 
     /**
-     * Removes and returns the most recently used of the reusable idle connections. A connection is
-     * reusable if it has been idle for at least the reuse delay and is still open. Also removes the
-     * closed connections that the search finds.
+     * Removes and returns a reusable idle connection. A connection is reusable if it has been idle
+     * for at least the reuse delay and is still open. Takes the most recently used one, so that the
+     * others can expire. If the endpoint has ever sent surplus input, takes the one that has been
+     * idle longest. Also removes the closed connections that the search finds.
      *
      * @return the connection, or null if there is none
      */
     UpstreamConnection takeReusable(long nowMicros) {
-        for (var newestFirst = idle.descendingIterator(); newestFirst.hasNext(); ) {
-            UpstreamConnection connection = newestFirst.next();
-            if (connection.idleMicros(nowMicros) >= ConnectionPool.REUSE_DELAY_MICROS) {
-                newestFirst.remove();
+        Iterator<UpstreamConnection> candidates =
+                reuseDelay.hasSurplusArrived() ? idle.iterator() : idle.descendingIterator();
+        while (candidates.hasNext()) {
+            UpstreamConnection connection = candidates.next();
+            if (connection.idleMicros(nowMicros) >= reuseDelay.micros()) {
+                candidates.remove();
                 if (connection.isReusable()) {
                     return connection;
                 }
@@ -143,6 +149,23 @@
         return null;
     }
 
+    /** Records the time from the write of a request to the arrival of its response. */
+    void exchanged(long durationMicros) {
+        reuseDelay.exchanged(durationMicros);
+    }
+
+    /**
+     * Records that surplus input has arrived on a connection to this endpoint.
+     *
+     * @param idleMicros time since the last response on that connection, in microseconds
+     */
+    void surplusArrived(long idleMicros) {
+        if (!reuseDelay.hasSurplusArrived()) {
+            pool.logSurplus(this, idleMicros);
+        }
+        reuseDelay.surplusArrived(idleMicros);
+    }
+
     void closeOldestIdle() {
         idle.pollFirst().close();
     }
--- a/sidecar/src/main/java/sagefall/proxy/upstream/UpstreamConnection.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/UpstreamConnection.java
@@ -56,6 +56,9 @@
 
     private long idleSinceMicros;
 
+    /** Time at which the last attempt was sent, in microseconds. */
+    private long sentMicros;
+
     /** Whether the streamed response in progress permits reuse of the connection. */
     private boolean keepAlive;
 
@@ -129,6 +132,7 @@
     }
 
     private void send(ForwardedAttempt sent, long nowMicros) {
+        sentMicros = nowMicros;
         long maxStreamedBytes = sent.request.maxStreamedBytes;
         if (sent.request.upload == null) {
             connection.send(UpstreamRequests.complete(sent, nowMicros), maxStreamedBytes);
@@ -167,6 +171,17 @@
         }
     }
 
+    /** Records what a response shows about the time to wait before a connection is reused. */
+    private void recordEnding(ResponseEnding ending) {
+        if (ending == ResponseEnding.SURPLUS || ending == ResponseEnding.DUPLICATED) {
+            endpoint.surplusArrived(0);
+        }
+    }
+
+    private void recordExchange() {
+        endpoint.exchanged(endpoint.pool().nowMicros() - sentMicros);
+    }
+
     /** Sends the waiting attempt, unless it has been abandoned and the connection is closing. */
     @Override
     public void connectionOpened() {
@@ -192,6 +207,7 @@
      */
     @Override
     public void responseCollected(FullHttpResponse response, ResponseEnding ending) {
+        recordEnding(ending);
         if (attempt == null
                 || ending == ResponseEnding.SURPLUS
                 || (!attempt.written && !UpstreamResponses.rejectsUpload(attempt, response))) {
@@ -199,6 +215,7 @@
             return;
         }
         ForwardedAttempt ended = attempt;
+        recordExchange();
         AttemptResult result = UpstreamResponses.result(response);
         LoadReport report = UpstreamResponses.loadReport(response);
         becomeIdleOrClose(ending.isReusable() && ended.written && HttpUtil.isKeepAlive(response));
@@ -212,6 +229,7 @@
             return;
         }
         ForwardedAttempt streamed = attempt;
+        recordExchange();
         keepAlive = HttpUtil.isKeepAlive(head);
         LoadReport report = UpstreamResponses.loadReport(head);
         listener()
@@ -247,6 +265,7 @@
 
     @Override
     public void responseFinished(HttpHeaders trailers, ResponseEnding ending) {
+        recordEnding(ending);
         if (attempt == null) {
             connection.close();
             return;
@@ -263,6 +282,13 @@
         listener().responseFinished(ended, trailers);
     }
 
+    @Override
+    public void unsolicitedInput() {
+        if (state == State.IDLE) {
+            endpoint.surplusArrived(idleMicros(endpoint.pool().nowMicros()));
+        }
+    }
+
     @Override
     public void connectionClosed() {
         enter(State.CLOSED);
--- a/sidecar/src/test/java/sagefall/proxy/RaceConditionTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/RaceConditionTest.java
@@ -282,7 +282,7 @@
      * attempt is then sent immediately on such a connection.
      */
     private static void awaitReusableConnections(SidecarHarness harness) throws Exception {
-        harness.awaitLoop(2 * ConnectionPool.REUSE_DELAY_MICROS);
+        harness.awaitLoop(2 * ConnectionPool.INITIAL_REUSE_DELAY_MICROS);
     }
 
     /**
--- a/sidecar/src/test/java/sagefall/proxy/SidecarServerTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarServerTest.java
@@ -193,9 +193,10 @@
         TestClient client = sidecar(server).client();
         for (int i = 0; i < 5; i++) {
             assertEquals(200, client.search(2_000).readResponse().status());
-            // A connection may be reused only after REUSE_DELAY_MICROS since its last response.
+            // A connection may be reused only after INITIAL_REUSE_DELAY_MICROS since its last
+            // response.
             LockSupport.parkNanos(
-                    TimeUnit.MICROSECONDS.toNanos(2 * ConnectionPool.REUSE_DELAY_MICROS));
+                    TimeUnit.MICROSECONDS.toNanos(2 * ConnectionPool.INITIAL_REUSE_DELAY_MICROS));
         }
         assertEquals(1, server.accepted.get());
     }
--- a/sidecar/src/test/java/sagefall/proxy/StreamedResponseTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StreamedResponseTest.java
@@ -39,7 +39,7 @@
         assertEquals("second", new String(client.chunks(), UTF_8));
         assertEquals(Map.of("Check", "sum"), client.trailers());
         // The second response has a known length and is sent on the same two connections.
-        TimeUnit.MICROSECONDS.sleep(ConnectionPool.REUSE_DELAY_MICROS);
+        TimeUnit.MICROSECONDS.sleep(ConnectionPool.INITIAL_REUSE_DELAY_MICROS);
         client.write(exportRequest(2_000));
         upstream.head();
         upstream.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthird");
--- a/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
@@ -38,7 +38,7 @@
         assertEquals("ok", client.text(2));
         // The sidecar buffers a small body completely before it forwards the body. Both connections
         // are reused.
-        TimeUnit.MICROSECONDS.sleep(ConnectionPool.REUSE_DELAY_MICROS);
+        TimeUnit.MICROSECONDS.sleep(ConnectionPool.INITIAL_REUSE_DELAY_MICROS);
         client.write(appendRequest("Content-Length: 3") + "abc");
         assertEquals("3", upstream.head().header("Content-Length"));
         assertEquals("abc", upstream.text(3));
--- a/sidecar/src/test/java/sagefall/proxy/upstream/ConnectionPoolTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/upstream/ConnectionPoolTest.java
@@ -65,7 +65,8 @@
                                                 clock,
                                                 config,
                                                 SidecarHarness.bufferMemory(),
-                                                this::onAttemptEnded))
+                                                this::onAttemptEnded,
+                                                line -> {}))
                         .get();
         update(SidecarHarness.list(1, true, "in_service", servers));
     }
@@ -124,7 +125,8 @@
      * attempt ends in the meantime.
      */
     private void awaitReuseDelay() throws InterruptedException {
-        assertNull(results.poll(2 * ConnectionPool.REUSE_DELAY_MICROS, TimeUnit.MICROSECONDS));
+        assertNull(
+                results.poll(2 * ConnectionPool.INITIAL_REUSE_DELAY_MICROS, TimeUnit.MICROSECONDS));
     }
 
     @Test
@@ -201,6 +203,27 @@
         assertEquals(first.socket(), server.take().socket());
     }
 
+    /** A late second response is most likely to have arrived on the connection idle longest. */
+    @Test
+    void longestIdleConnectionIsReusedIfTheEndpointHasSentSurplusInput() throws Exception {
+        ScriptedPeer server = server(ScriptedPeer.SILENT);
+        start(1024, server);
+        List<ReceivedRequest> requests = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            send(server.port());
+            requests.add(server.take());
+        }
+        for (ReceivedRequest request : requests) {
+            request.respond("200 OK", "", "");
+            assertEquals(AttemptResult.SERVED, awaitResult());
+        }
+        requests.get(1).socket().getOutputStream().write('x');
+        server.awaitConnectionEnd();
+        awaitReuseDelay();
+        send(server.port());
+        assertEquals(requests.get(0).socket(), server.take().socket());
+    }
+
     @Test
     void connectionIsNotReusedAfterTheHeaderConnectionClose() throws Exception {
         ScriptedPeer server =
