A request that its client sends again keeps to the zone where it may have run

Callers' saves were written twice: 48 of 264 requests whose clients left after 0.1 s and sent them again 0.2 s later, with the same id and key, ran in both zones (one run of 15 s in real processes, counted at the servers).

Cause: a request was forgotten once its client had left and its attempt was cancelled, so the repetition counted as new and went to any zone.

Change: the host passes a repeat key, the hash of the idempotency key, or of the id where the class has none. RecentExecutions keeps for each key where its first attempt went, for the class's window after the last attempt (the class's deadline where there is no key), for 16,384 keys at the most; beyond that the oldest is forgotten. RepeatPolicy treats it like an attempt of the repetition itself, checked on arrival and at the moment of sending. A repetition that may go nowhere fails at once.

The window alone is what the servers recognize, so a key is free after it now.

--- a/sidecar/src/main/java/sagefall/balancer/AttemptGate.java
+++ b/sidecar/src/main/java/sagefall/balancer/AttemptGate.java
@@ -8,6 +8,7 @@
 import sagefall.balancer.health.EndpointHealth;
 import sagefall.balancer.request.Attempt;
 import sagefall.balancer.request.PendingRequest;
+import sagefall.balancer.request.RecentExecutions;
 
 /**
  * Sends all attempts: no other class calls {@link BalancerActions#send}. Checks each attempt
@@ -24,12 +25,15 @@
     private final BalancerActions actions;
     private final EndpointHealth health;
     private final RetryBudget retryBudget;
+    private final RecentExecutions executions;
 
     AttemptGate(
             BalancerSettings settings,
             BalancerActions actions,
             EndpointHealth health,
-            RetryBudget retryBudget) {
+            RetryBudget retryBudget,
+            RecentExecutions executions) {
+        this.executions = executions;
         this.settings = settings;
         this.actions = actions;
         this.health = health;
@@ -38,6 +42,7 @@
 
     /** Sends an attempt of the request if all rules allow it; returns whether it was sent. */
     boolean send(long now, PendingRequest request, Endpoint endpoint) {
+        executions.applyTo(now, request);
         if (!isRequestSendable(now, request) || !isEndpointAllowed(now, request, endpoint)) {
             return false;
         }
@@ -57,6 +62,7 @@
             health.startAwaitingResponse(now, attempt);
         }
         request.attemptSent(attempt);
+        executions.attemptSent(now, request);
         actions.send(request.id(), endpoint.id(), NO_TIMEOUT, latestSendAt);
         return true;
     }
--- a/sidecar/src/main/java/sagefall/balancer/RequestDispatcher.java
+++ b/sidecar/src/main/java/sagefall/balancer/RequestDispatcher.java
@@ -13,6 +13,7 @@
 import sagefall.balancer.health.EndpointHealth;
 import sagefall.balancer.request.Attempt;
 import sagefall.balancer.request.PendingRequest;
+import sagefall.balancer.request.RecentExecutions;
 import sagefall.balancer.request.RepeatPolicy;
 import sagefall.balancer.routing.EndpointPicker;
 import sagefall.balancer.routing.SubsetTree;
@@ -42,6 +43,7 @@
     private final RequestCloser closer;
     private final QueueDispatcher queueDispatcher;
     private final List<RepeatPolicy> repeatPolicies;
+    private final RecentExecutions executions;
 
     RequestDispatcher(
             BalancerSettings settings,
@@ -61,6 +63,7 @@
         retryPolicy = new RetryPolicy(settings.limits(), retryBudget, queue, openRequests);
         RetryAfterPolicy retryAfter = new RetryAfterPolicy(settings, random);
         closer = new RequestCloser(settings, actions, queue, openRequests, retryAfter);
+        executions = new RecentExecutions(settings.classes());
         queueDispatcher =
                 new QueueDispatcher(
                         settings,
@@ -70,7 +73,7 @@
                         queue,
                         openRequests,
                         new EndpointPicker(settings, random, subsets, health, admission),
-                        new AttemptGate(settings, actions, health, retryBudget),
+                        new AttemptGate(settings, actions, health, retryBudget, executions),
                         retryPolicy,
                         closer);
         repeatPolicies =
@@ -89,6 +92,7 @@
         if (!openRequests.add(request)) {
             return;
         }
+        executions.applyTo(now, request);
         request.setRoutingSeed(random.nextLong());
         admission.countAgainstQuota(request);
         request.setCell(subsets.chooseCell(request, random));
@@ -115,6 +119,9 @@
             // The open requests keep their buffers, so the new request is rejected at once.
             return RejectionReason.BUFFER_LIMIT;
         }
+        if (request.isRepeatedTooLate(now)) {
+            return RejectionReason.NOT_RETRYABLE;
+        }
         long remainingMicros = request.request().deadlineMicros() - now;
         if (remainingMicros
                 <= meanTargetMicros / MIN_REMAINING_DIVISOR + 2 * settings.tickMicros()) {
@@ -141,6 +148,7 @@
         boolean wasStreaming = attempt.isStreaming();
         attempt.end(outcome.result());
         request.attemptEnded();
+        executions.attemptEnded(request);
         health.stopAwaitingResponse(attempt);
         if (wasStreaming) {
             health.recordStreamEnd(now, attempt, outcome);
--- a/sidecar/src/main/java/sagefall/balancer/admission/RequestQueue.java
+++ b/sidecar/src/main/java/sagefall/balancer/admission/RequestQueue.java
@@ -117,7 +117,7 @@
     public long lastUsefulAt(PendingRequest request, int openRequests) {
         RequestTimes times = request.times();
         long lastUseful = times.deadlineAt() - 2 * settings.tickMicros();
-        if (request.firstThatMayHaveRun() == null
+        if (request.firstPossibleExecution() == null
                 && openRequests > settings.limits().maxOpenRequests() / 2) {
             long total = times.deadlineAt() - times.arrivedAt();
             long latest = times.arrivedAt() + (long) (MAX_QUEUED_PART * total);
--- a/sidecar/src/main/java/sagefall/balancer/api/Request.java
+++ b/sidecar/src/main/java/sagefall/balancer/api/Request.java
@@ -16,6 +16,9 @@
  *     forwarded only when it is complete
  * @param waitedMicros upper bound on the time that the request waited before the host read it; the
  *     latency of the request includes this time
+ * @param repeatKey hash of what repetitions of the request by its client have in common: the
+ *     idempotency key, or the id if the class has none; {@link #NO_REPEAT_KEY} if the request may
+ *     run any number of times, or nothing is known
  */
 public record Request(
         String id,
@@ -27,7 +30,11 @@
         boolean write,
         boolean upload,
         long bufferBytes,
-        long waitedMicros) {
+        long waitedMicros,
+        long repeatKey) {
+
+    /** Value of {@code repeatKey} if repetitions of the request cannot be recognized. */
+    public static final long NO_REPEAT_KEY = -1;
 
     /** Creates a request whose body is complete and that has not waited for the host. */
     public Request(
@@ -38,6 +45,17 @@
             long key,
             long deadlineMicros,
             boolean write) {
-        this(id, requestClass, tenant, clientRetry, key, deadlineMicros, write, false, 0, 0);
+        this(
+                id,
+                requestClass,
+                tenant,
+                clientRetry,
+                key,
+                deadlineMicros,
+                write,
+                false,
+                0,
+                0,
+                NO_REPEAT_KEY);
     }
 }
--- a/sidecar/src/main/java/sagefall/balancer/request/Attempt.java
+++ b/sidecar/src/main/java/sagefall/balancer/request/Attempt.java
@@ -7,7 +7,7 @@
  * An attempt: one sending of a request to one endpoint. Attempts are compared by identity. All
  * points in time are in microseconds of the host's clock.
  */
-public final class Attempt {
+public final class Attempt implements PossibleExecution {
     private final PendingRequest request;
     private final Endpoint endpoint;
     private final int number;
@@ -61,11 +61,21 @@
         return number;
     }
 
-    /** Returns the time at which the attempt was sent. */
+    @Override
     public long sentAt() {
         return sentAt;
     }
 
+    @Override
+    public int zone() {
+        return endpoint.entry().zone();
+    }
+
+    @Override
+    public int cell() {
+        return endpoint.entry().cell();
+    }
+
     /**
      * Returns the time for which the connection had been idle before the attempt was sent; 0 for a
      * new connection.
--- a/sidecar/src/main/java/sagefall/balancer/request/PendingRequest.java
+++ b/sidecar/src/main/java/sagefall/balancer/request/PendingRequest.java
@@ -26,6 +26,14 @@
     private long routingSeed;
     private int attemptsInFlight;
 
+    /**
+     * Where an earlier request with the same repeat key may have run; null if that is not known.
+     */
+    private EarlierExecution earlierExecution;
+
+    /** What {@link RecentExecutions} has recorded of this request last; null if nothing. */
+    private EarlierExecution recordedExecution;
+
     /**
      * Creates the state of a request that has arrived.
      *
@@ -209,6 +217,39 @@
         return null;
     }
 
+    /**
+     * Returns the first possible execution of the request, or of an earlier request with the same
+     * repeat key; null if none is known.
+     */
+    public PossibleExecution firstPossibleExecution() {
+        return earlierExecution != null ? earlierExecution : firstThatMayHaveRun();
+    }
+
+    /** Returns where an earlier request with the same repeat key may have run, or null. */
+    EarlierExecution earlierExecution() {
+        return earlierExecution;
+    }
+
+    void setEarlierExecution(EarlierExecution execution) {
+        earlierExecution = execution;
+    }
+
+    EarlierExecution recordedExecution() {
+        return recordedExecution;
+    }
+
+    void setRecordedExecution(EarlierExecution execution) {
+        recordedExecution = execution;
+    }
+
+    /**
+     * Returns whether an earlier request with the same repeat key may have run and idempotency
+     * permits no attempt at any endpoint any more.
+     */
+    public boolean isRepeatedTooLate(long now) {
+        return earlierExecution != null && !repeatPolicy.maySendSomewhere(now, this);
+    }
+
     /** Returns whether an attempt was sent to the given endpoint. */
     boolean wasSentTo(Endpoint endpoint) {
         for (Attempt attempt : attempts) {
--- a/sidecar/src/main/java/sagefall/balancer/request/RepeatPolicy.java
+++ b/sidecar/src/main/java/sagefall/balancer/request/RepeatPolicy.java
@@ -42,7 +42,7 @@
                         && requestClass.deduplicationScope() == DeduplicationScope.ALL;
         return deduplicatedEverywhere
                 || requestClass.idempotency() == Idempotency.IDEMPOTENT
-                || request.firstThatMayHaveRun() == null;
+                || request.firstPossibleExecution() == null;
     }
 
     /** Returns whether idempotency could allow a retry at some endpoint at some time. */
@@ -56,7 +56,7 @@
      * deduplication window. Otherwise the bound is {@link Long#MAX_VALUE}.
      */
     long latestSendAt(PendingRequest request) {
-        Attempt first = request.firstThatMayHaveRun();
+        PossibleExecution first = request.firstPossibleExecution();
         if (first == null || requestClass.idempotency() != Idempotency.IDEMPOTENCY_KEY) {
             return Long.MAX_VALUE;
         }
@@ -71,18 +71,25 @@
         if (request.wasSentTo(endpoint)) {
             return false;
         }
-        Attempt first = request.firstThatMayHaveRun();
+        PossibleExecution first = request.firstPossibleExecution();
         if (first == null || requestClass.idempotency() == Idempotency.IDEMPOTENT) {
             return true;
         }
-        if (requestClass.idempotency() == Idempotency.NOT_IDEMPOTENT
-                || now >= latestSendAt(request)) {
+        if (!maySendSomewhere(now, request)) {
             return false;
         }
         return switch (requestClass.deduplicationScope()) {
             case ALL -> true;
-            case ZONE -> first.endpoint().entry().zone() == endpoint.entry().zone();
-            case CELL -> first.endpoint().entry().cell() == endpoint.entry().cell();
+            case ZONE -> first.zone() == endpoint.entry().zone();
+            case CELL -> first.cell() == endpoint.entry().cell();
         };
     }
+
+    /** Returns whether an attempt may be sent to any endpoint now. */
+    boolean maySendSomewhere(long now, PendingRequest request) {
+        return request.firstPossibleExecution() == null
+                || requestClass.idempotency() == Idempotency.IDEMPOTENT
+                || (requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY
+                        && now < latestSendAt(request));
+    }
 }
--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestParser.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestParser.java
@@ -121,7 +121,22 @@
                 requestClass.idempotency() != Idempotency.IDEMPOTENT,
                 uploading,
                 streaming.reservedBytes(uploading, responseStreamed),
-                waitedMicros);
+                waitedMicros,
+                repeatKey(requestClass, id, headers));
+    }
+
+    /** Returns the hash of what repetitions of a request by its client have in common. */
+    private long repeatKey(RequestClass requestClass, String id, HttpHeaders headers) {
+        String common =
+                switch (requestClass.idempotency()) {
+                    case IDEMPOTENT -> null;
+                    case IDEMPOTENCY_KEY -> headers.get(ProtocolHeaders.IDEMPOTENCY_KEY);
+                    case NOT_IDEMPOTENT -> id;
+                };
+        if (common == null) {
+            return Request.NO_REPEAT_KEY;
+        }
+        return (StableHash.of(common) + classIndexes.get(requestClass.name())) & Long.MAX_VALUE;
     }
 
     private static long deadlineMicros(long now, long waitedMicros, long timeoutMicros) {
--- a/sidecar/src/test/java/sagefall/balancer/RequestRulesTest.java
+++ b/sidecar/src/test/java/sagefall/balancer/RequestRulesTest.java
@@ -147,7 +147,8 @@
                         false,
                         false,
                         0,
-                        waited));
+                        waited,
+                        Request.NO_REPEAT_KEY));
         while (host.rejected.isEmpty()) {
             host.fireTimers();
         }
--- a/sidecar/src/test/java/sagefall/balancer/StreamingDecisionsTest.java
+++ b/sidecar/src/test/java/sagefall/balancer/StreamingDecisionsTest.java
@@ -26,7 +26,18 @@
     private static void upload(RecordingActions host, String id, long buffer) {
         host.balancer.onRequest(
                 host.now,
-                new Request(id, 0, 0, false, -1, host.now + 1_000_000, true, true, buffer, 0));
+                new Request(
+                        id,
+                        0,
+                        0,
+                        false,
+                        -1,
+                        host.now + 1_000_000,
+                        true,
+                        true,
+                        buffer,
+                        0,
+                        Request.NO_REPEAT_KEY));
     }
 
     private static void startResponse(RecordingActions host, long elapsed) {
