Test bed: the end of a run in the middle of a read of the lease is no violation

An interrupt during a read of a file closes it with ClosedByInterruptException, which has no message and was recorded as a lease that can't be read.

Change: LeaseObserver ends on that exception. Any other failed read is recorded as before, now with its type, since "null" told nothing.

No invariant and no bound is changed.

--- a/testbed/src/main/java/sagefall/faultinjection/LeaseObserver.java
+++ b/testbed/src/main/java/sagefall/faultinjection/LeaseObserver.java
@@ -1,6 +1,7 @@
 package sagefall.faultinjection;
 
 import java.io.IOException;
+import java.nio.channels.ClosedByInterruptException;
 import java.nio.file.Path;
 import java.util.concurrent.locks.LockSupport;
 import sagefall.faultinjection.history.EntryKind;
@@ -29,8 +30,13 @@
     private final LeaseStore store;
 
     LeaseObserver(Path directory) throws IOException {
+        this(directory, new DirectoryLeaseStore(directory));
+    }
+
+    /** Creates an observer of the given store, which has its files in the given directory. */
+    LeaseObserver(Path directory, LeaseStore store) {
         this.directory = directory;
-        store = new DirectoryLeaseStore(directory);
+        this.store = store;
     }
 
     Path directory() {
@@ -62,8 +68,11 @@
                     record(history, current);
                 }
                 previous = current;
+            } catch (ClosedByInterruptException e) {
+                // The interrupt that ends the watch has closed the file that was being read.
+                return;
             } catch (IOException e) {
-                history.write(EntryKind.LEASE, "unread", String.valueOf(e.getMessage()));
+                history.write(EntryKind.LEASE, "unread", e.toString());
             }
             LockSupport.parkNanos(POLL_NANOS);
         }
