Uploads that stop make room, and take at most half of the places of open requests

Cause: an upload is an open request from its head on. Some 70 that stopped were all the open requests there may be; one that stops was given up after 10 s, one that sends single bytes never.

Evidence: answers came within 80 ms, so no connection was missing, and no attempt was made (503). A new event, upload_limit_reached, counts uploads that were ended and refused.

Change: UploadLimiter allows half of the open requests to be uploads that are not complete. At that limit the oldest one with less than 1 KiB in the last 500 ms, while it was read, makes room; else the new one gets the 503. The rate limit of two log lines is one class now, LogRateLimit.

--- a/sidecar/src/main/java/sagefall/buffer/BufferMemory.java
+++ b/sidecar/src/main/java/sagefall/buffer/BufferMemory.java
@@ -5,10 +5,10 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import sagefall.logging.LogEvent;
 import sagefall.logging.LogLine;
+import sagefall.logging.LogRateLimit;
 
 /**
  * The memory that all connections of a sidecar hold together: the buffers of their channels, and
@@ -21,9 +21,6 @@
  */
 public final class BufferMemory {
 
-    /** Minimum time between two log lines. */
-    private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
     private final BufferLimits limits;
     private final HeapFallbackAllocator allocator;
     private final Consumer<String> log;
@@ -35,7 +32,7 @@
 
     private long peakHeapBytes;
     private boolean lineDue;
-    private long lastLineNanos = System.nanoTime() - LOG_INTERVAL_NANOS;
+    private final LogRateLimit logRateLimit = new LogRateLimit();
 
     /** Creates the memory of a sidecar with the given limits. */
     public BufferMemory(BufferLimits limits, Consumer<String> log) {
@@ -90,7 +87,7 @@
     /** Drops buffers while the heap limit is exceeded. Called after each read of a socket. */
     public void enforceLimit() {
         makeRoomFor(0);
-        if (lineDue) {
+        if (lineDue && logRateLimit.tryAcquire()) {
             logDrops();
         }
     }
@@ -133,11 +130,6 @@
     }
 
     private void logDrops() {
-        long now = System.nanoTime();
-        if (now - lastLineNanos < LOG_INTERVAL_NANOS) {
-            return;
-        }
-        lastLineNanos = now;
         lineDue = false;
         LogLine line =
                 LogLine.of(LogEvent.BUFFER_LIMIT_REACHED)
--- a/sidecar/src/main/java/sagefall/logging/LogEvent.java
+++ b/sidecar/src/main/java/sagefall/logging/LogEvent.java
@@ -37,6 +37,11 @@
      * start of the process.
      */
     BUFFER_LIMIT_REACHED("buffer_limit_reached", LogLevel.WARN),
+    /**
+     * Uploads that are not complete have reached their limit. The counts are those since the start
+     * of the process.
+     */
+    UPLOAD_LIMIT_REACHED("upload_limit_reached", LogLevel.WARN),
     /** An iteration of the event loop took so long that requests are answered late. */
     EVENT_LOOP_STALLED("event_loop_stalled", LogLevel.WARN),
     /**
--- a/sidecar/src/main/java/sagefall/proxy/JvmWarmUp.java
+++ b/sidecar/src/main/java/sagefall/proxy/JvmWarmUp.java
@@ -69,7 +69,13 @@
         memory = new BufferMemory(BufferLimits.ofJvm(), line -> {});
         listener =
                 new DownstreamListener(
-                        loop, latencyClock, service, MAX_CONNECTIONS, memory, line -> {});
+                        loop,
+                        latencyClock,
+                        service,
+                        MAX_CONNECTIONS,
+                        MAX_CONNECTIONS,
+                        memory,
+                        line -> {});
     }
 
     /**
--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -106,6 +106,7 @@
                         latencyClock,
                         requestHandler,
                         config.maxClientConnections(),
+                        config.settings().limits().maxOpenRequests(),
                         memory,
                         log);
         ProxyActions actions =
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
@@ -77,6 +77,9 @@
     }
 
     private void enter(ClientConnectionState next) {
+        if (state == ClientConnectionState.READING_BODY) {
+            listener.uploads().ended(this);
+        }
         state = state.transitionTo(next);
         stateSinceNanos = System.nanoTime();
         buffers.clear();
@@ -98,6 +101,7 @@
     ClientExchange startReadingBody(HttpRequest head) {
         exchange = new ClientExchange(this, head);
         enter(ClientConnectionState.READING_BODY);
+        listener.uploads().started(this);
         return exchange;
     }
 
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientExchange.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientExchange.java
@@ -169,6 +169,11 @@
         upload.end(ProtocolHeaders.forwardableTrailers(end.trailingHeaders()));
     }
 
+    /** Returns the milliseconds for which the streamed body of the request made no progress. */
+    long uploadMillisWithoutProgress() {
+        return upload == null ? 0 : upload.millisWithoutProgress();
+    }
+
     /** Ends the streams of this exchange if the client or the endpoint has stalled. */
     void checkStalls() {
         if (isReadingBody() && upload.isClientStalled()) {
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ConnectionLimiter.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ConnectionLimiter.java
@@ -33,7 +33,7 @@
      * Time without input after which the client of an unfinished request counts as stopped. Clients
      * that write slowly pause for less.
      */
-    private static final long STOPPED_MILLIS = 500;
+    static final long STOPPED_MILLIS = 500;
 
     private final Set<ClientConnection> connections;
     private final int maxConnections;
--- a/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
@@ -35,6 +35,7 @@
     private final BufferAccounting buffers = new BufferAccounting();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final ConnectionLimiter limiter;
+    private final UploadLimiter uploads;
     private final IdleSweeper sweeper;
     private final GracefulShutdown shutdown;
     private StreamingSettings streaming = StreamingSettings.OFF;
@@ -49,6 +50,7 @@
      * @param loopClock clock that estimates the earliest arrival time of the input that is read
      * @param requestHandler handler of the requests that are read
      * @param maxConnections maximum number of open client connections
+     * @param maxOpenRequests maximum number of open requests
      * @param memory the memory that counts the buffers of all client connections
      * @param log consumer of log lines
      */
@@ -57,6 +59,7 @@
             LoopLatencyClock loopClock,
             RequestHandler requestHandler,
             int maxConnections,
+            int maxOpenRequests,
             BufferMemory memory,
             Consumer<String> log) {
         this.loop = loop;
@@ -65,6 +68,7 @@
         this.memory = memory;
         this.log = log;
         limiter = new ConnectionLimiter(connections, maxConnections);
+        uploads = new UploadLimiter(maxOpenRequests, log);
         sweeper = new IdleSweeper(connections, limiter);
         shutdown = new GracefulShutdown(loop, this);
     }
@@ -134,6 +138,7 @@
 
     private void sweep() {
         sweeper.sweep();
+        uploads.logLimitReached();
         memory.enforceLimit();
         limiter.adjustAccepting(listening);
     }
@@ -176,6 +181,10 @@
         return loopClock;
     }
 
+    UploadLimiter uploads() {
+        return uploads;
+    }
+
     BufferMemory memory() {
         return memory;
     }
--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
@@ -150,6 +150,11 @@
     }
 
     private void onUploadHead(HttpRequest head) {
+        if (!connection.listener().uploads().makeRoom()) {
+            connection.reject(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE, UploadLimiter.TOO_MANY_UPLOADS);
+            return;
+        }
         long maxBytes = maxStreamedBodyBytes(head);
         chunkLimit.begin(head);
         ClientExchange exchange = connection.startReadingBody(head);
--- a/sidecar/src/main/java/sagefall/streaming/FlowControl.java
+++ b/sidecar/src/main/java/sagefall/streaming/FlowControl.java
@@ -132,6 +132,11 @@
         state = State.FINISHED;
     }
 
+    /** Returns whether the source is being read. */
+    boolean isReading() {
+        return state == State.READING;
+    }
+
     private void applyWatermarks() {
         if (state == State.READING && pendingBytes >= settings.highWatermarkBytes()) {
             pause(State.PAUSED_BY_WATERMARK);
--- a/sidecar/src/main/java/sagefall/streaming/StreamedUpload.java
+++ b/sidecar/src/main/java/sagefall/streaming/StreamedUpload.java
@@ -38,6 +38,7 @@
 
     private final long maxBytes;
     private final FlowControl flow;
+    private final SourceProgress progress = new SourceProgress();
     private final ReplayBuffer replayBuffer;
     private Listener listener;
     private State state = State.RECEIVING;
@@ -68,10 +69,18 @@
             FlowControl.Source source) {
         this.maxBytes = maxBytes;
         replayBuffer = new ReplayBuffer(settings.replayBytes(), accounting);
-        flow = new FlowControl(settings, accounting, source);
+        flow = new FlowControl(settings, accounting, restartingProgress(source));
         flow.pauseWithoutSink();
     }
 
+    /** Returns the source with a new measurement of its progress each time it is resumed. */
+    private FlowControl.Source restartingProgress(FlowControl.Source source) {
+        return reading -> {
+            progress.restart();
+            source.setReading(reading);
+        };
+    }
+
     /** Sets the listener; to be called before the first part is received. */
     public void setListener(Listener next) {
         listener = next;
@@ -93,6 +102,7 @@
      */
     public boolean receive(ByteBuf part) {
         receivedBytes += part.readableBytes();
+        progress.bytesReceived(part.readableBytes());
         boolean closed = state == State.CLOSED;
         if (closed || receivedBytes > maxBytes) {
             part.release();
@@ -178,6 +188,14 @@
         return state == State.RECEIVING && flow.isSourceStalled();
     }
 
+    /**
+     * Returns the milliseconds for which the client has been read without making progress; 0 while
+     * the client is not read.
+     */
+    public long millisWithoutProgress() {
+        return state == State.RECEIVING && flow.isReading() ? progress.millisWithoutProgress() : 0;
+    }
+
     /**
      * Returns whether an endpoint is attached, bytes are pending, and the endpoint has taken none
      * of them for longer than the write stall limit. After {@link #close}, always false.
--- a/sidecar/src/test/java/sagefall/proxy/RawConnection.java
+++ b/sidecar/src/test/java/sagefall/proxy/RawConnection.java
@@ -207,6 +207,11 @@
             return next;
         }
 
+        /** Waits for the next connection without a time limit, and returns it. */
+        RawConnection takeWithoutLimit() throws InterruptedException {
+            return accepted.take();
+        }
+
         /** Returns whether the test has taken all connections that have arrived. */
         boolean hasNoConnection() {
             return accepted.isEmpty();
--- a/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
@@ -117,6 +117,15 @@
         Assertions.assertEquals(0, new ProcessBuilder("sh", "-c", kill).start().waitFor());
     }
 
+    /** Returns the resident memory of the process as the kernel reports it, in KiB. */
+    long residentKib() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Returns whether the process is still running after the given duration. */
     boolean keepsRunningFor(long millis) throws InterruptedException {
         return !process.waitFor(millis, TimeUnit.MILLISECONDS);
