The event loop outlives an accept that fails for want of a descriptor

Cause: the exception of the accept reached the end of the listening channel's pipeline. Netty logs it there by java.util.logging, which then loads the file of the time zones, can't open it either, and ends the thread with an Error.

Evidence: the stack trace on standard error; the incident has it.

--- a/sidecar/src/main/java/sagefall/logging/LogEvent.java
+++ b/sidecar/src/main/java/sagefall/logging/LogEvent.java
@@ -37,6 +37,8 @@
      * start of the process.
      */
     BUFFER_LIMIT_REACHED("buffer_limit_reached", LogLevel.WARN),
+    /** A client connection could not be accepted. The count is that since the start. */
+    ACCEPT_FAILED("accept_failed", LogLevel.ERROR),
     /**
      * Uploads that are not complete have reached their limit. The counts are those since the start
      * of the process.
--- a/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
@@ -90,6 +90,7 @@
                         .childHandler(new ClientChannelInitializer(this))
                         .bind(address);
         listening = bound.channel();
+        bound.addListener(f -> listening.pipeline().addLast(new AcceptFailureHandler(log)));
         loop.scheduleWithFixedDelay(
                 this::sweep,
                 IdleSweeper.SWEEP_INTERVAL_MILLIS,
