An invalid upload whose body came with its head is rejected with its reason

The client got "not HTTP" in place of the reason, for example "no Request-Id".

Cause: the rejection takes the decoder out of the pipeline, which reports the end of a read at once. The connection was still in the state of reading a body and had no exchange any more, so that failed with a NullPointerException; its handler rejected the request again, and the first rejection then failed too.

Change: without an exchange no part of a body is forwarded.

Measured: the new test of StreamedUploadTest fails without the guard ("not HTTP") and passes with it, one run each.

--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestReader.java
@@ -274,8 +274,10 @@
         }
     }
 
+    /** Returns whether parts of a body are forwarded; false while the request is being rejected. */
     private boolean isReadingBody() {
-        return connection.state() == ClientConnectionState.READING_BODY;
+        return connection.state() == ClientConnectionState.READING_BODY
+                && connection.exchange() != null;
     }
 
     private boolean hasFurtherInput() {
--- a/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
@@ -60,6 +60,22 @@
         assertStatus(200, client);
     }
 
+    /**
+     * Guards against a fault in which the rejection of an upload whose body came with its head
+     * failed, so that the client got another reason.
+     */
+    @Test
+    void invalidUploadThatCameWholeIsRejectedWithItsReason() throws Exception {
+        start("");
+        client.write(
+                appendRequest("Transfer-Encoding: chunked").replaceFirst("Request-Id", "Other")
+                        + "3\r\nabc\r\n"
+                        + LAST_CHUNK);
+        assertStatus(400, client);
+        assertEquals("no Request-Id", client.line());
+        assertEquals("", harness.log.toString(UTF_8));
+    }
+
     /** The client's timeout runs from the last byte of an upload, not from the first byte. */
     @Test
     void timeoutRunsFromTheLastByteOfAnUpload() throws Exception {
