No attempt begins for a streamed upload whose client has left

Cause: a client is not read while its upload has no server, and an upload that came whole meanwhile left it so; the check for a disconnect before each attempt read nothing for uploads.

Change: with the last byte of an upload its client is read again. Before an attempt the body is read ahead as far as the replay buffer holds it, which shows a close behind it. Nothing more is buffered than was reserved.

--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientExchange.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientExchange.java
@@ -107,20 +107,32 @@
     }
 
     /**
-     * First reads what has arrived, which detects a disconnect. If the request body is streamed,
-     * nothing is read here, because only flow control decides when the client is read.
+     * First reads what has arrived, which detects a disconnect. The body of an upload is read only
+     * as far as its replay buffer holds it, so a disconnect behind more unread bytes is not
+     * detected here.
      */
     @Override
     public boolean isStillWaiting() {
-        if (isCurrent() && upload == null) {
+        if (isCurrent() && isReadingBody()) {
+            readAhead();
+        }
+        if (isCurrent() && !isReadingBody()) {
             HttpClientConnection.readAvailableFrom(channel());
-            if (!channel().isActive()) {
-                connection.abandonExchange();
-            }
+        }
+        if (isCurrent() && !channel().isActive()) {
+            connection.abandonExchange();
         }
         return isCurrent();
     }
 
+    private void readAhead() {
+        long bytesBefore = -1;
+        while (upload.canReadAhead() && upload.receivedBytes() > bytesBefore) {
+            bytesBefore = upload.receivedBytes();
+            HttpClientConnection.readAvailableFrom(channel());
+        }
+    }
+
     /** Creates the upload of a streamed body of at most {@code maxBytes}. */
     StreamedUpload startUpload(HttpRequest head, long maxBytes) {
         continueExpected = HttpUtil.is100ContinueExpected(head);
@@ -166,6 +178,7 @@
 
     /** Forwards the end of the body. The caller releases the given content. */
     void endUpload(LastHttpContent end) {
+        continueExpected = false;
         upload.end(ProtocolHeaders.forwardableTrailers(end.trailingHeaders()));
     }
 
--- a/sidecar/src/main/java/sagefall/streaming/FlowControl.java
+++ b/sidecar/src/main/java/sagefall/streaming/FlowControl.java
@@ -127,9 +127,16 @@
         }
     }
 
-    /** Records that the source has sent everything. */
+    /**
+     * Records that the source has sent everything. Resumes a source that is paused, so that the end
+     * of its connection is detected.
+     */
     public void sourceFinished() {
+        boolean wasReading = state == State.READING;
         state = State.FINISHED;
+        if (!wasReading) {
+            source.setReading(true);
+        }
     }
 
     /** Returns whether the source is being read. */
--- a/sidecar/src/main/java/sagefall/streaming/ReplayBuffer.java
+++ b/sidecar/src/main/java/sagefall/streaming/ReplayBuffer.java
@@ -31,6 +31,11 @@
         }
     }
 
+    /** Returns whether an upload of the given length can be replayed. */
+    boolean holds(long length) {
+        return replayable && length <= limitBytes;
+    }
+
     /** Returns whether the buffer holds any bytes. */
     boolean isReadable() {
         return bytes.isReadable();
--- a/sidecar/src/main/java/sagefall/streaming/StreamedUpload.java
+++ b/sidecar/src/main/java/sagefall/streaming/StreamedUpload.java
@@ -119,6 +119,21 @@
         return true;
     }
 
+    /** Returns the number of bytes of the body that have been received so far. */
+    public long receivedBytes() {
+        return receivedBytes;
+    }
+
+    /**
+     * Returns whether the replay buffer holds what another read of the client's socket returns at
+     * most. The client may then be read although no endpoint is attached.
+     */
+    public boolean canReadAhead() {
+        return state == State.RECEIVING
+                && sink == null
+                && replayBuffer.holds(receivedBytes + StreamingSettings.READ_BYTES);
+    }
+
     /** Flushes the parts that one read of the client's socket returned. */
     public void flush() {
         if (sink != null) {
@@ -128,7 +143,7 @@
 
     /**
      * Records that the last byte has been received. The given trailers are forwarded after the
-     * body.
+     * body. The client is read again, because a disconnect ends the attempts.
      */
     public void end(HttpHeaders forwardedTrailers) {
         if (state != State.RECEIVING) {
--- a/sidecar/src/test/java/sagefall/proxy/ScriptedBalancer.java
+++ b/sidecar/src/test/java/sagefall/proxy/ScriptedBalancer.java
@@ -111,7 +111,12 @@
 
     /** Sends an attempt without a timeout. Called on the event loop. */
     void send(String requestId, ScriptedPeer server) {
-        actions.send(requestId, StableHash.of("s-" + server.port()), 0, Long.MAX_VALUE);
+        send(requestId, server.port());
+    }
+
+    /** Sends an attempt to the server on the given port. Called on the event loop. */
+    void send(String requestId, int port) {
+        actions.send(requestId, StableHash.of("s-" + port), 0, Long.MAX_VALUE);
     }
 
     @Override
--- a/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
@@ -60,6 +60,34 @@
         assertStatus(200, client);
     }
 
+    /**
+     * Guards against a fault in which a kept client connection was not read any more after an
+     * upload that had come whole before a server was attached, and whose response was streamed.
+     */
+    @Test
+    void nextRequestIsReadAfterAnUploadThatCameWholeBeforeItsServer() throws Exception {
+        String bothDirections = "'max_request_bytes':1000000,'max_answer_bytes':1000000";
+        start(
+                newHarness()
+                        .withConfig("'name':'append'", "'name':'append','streaming':true")
+                        .withExtensions(
+                                "{'streaming':{'classes':{'append':{" + bothDirections + "}}}}"));
+        for (int i = 0; i < 2; i++) {
+            long startNanos = System.nanoTime();
+            client.write(appendRequest("Transfer-Encoding: chunked") + "3\r\nabc\r\n" + LAST_CHUNK);
+            RawConnection upstream = acceptRequest();
+            assertEquals("abc", new String(upstream.chunks(), UTF_8));
+            upstream.trailers();
+            upstream.write(OK_CHUNKED).chunk("def").write(LAST_CHUNK);
+            upstream.close();
+            client.head();
+            assertEquals("def", new String(client.chunks(), UTF_8));
+            client.trailers();
+            long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            assertTrue(elapsedMillis < 2_000, elapsedMillis + " ms");
+        }
+    }
+
     /**
      * Guards against a fault in which the rejection of an upload whose body came with its head
      * failed, so that the client got another reason.
