An outdated list that names an earlier process says nothing about the present one

After a list of a lower revision, as after a restore, a draining server got requests again, a server in service got none because of the drain of its earlier process, and a cold one was sent as much as a warm one.

Cause: an entry with another start replaced what was known, whatever the revision of its list. Only an entry with the same start was compared.

Change: an entry whose list is older and whose start is earlier has no effect, in the balancer and in the connection pool alike. A list of a higher revision holds whatever its start.

--- a/sidecar/src/main/java/sagefall/balancer/EndpointRegistry.java
+++ b/sidecar/src/main/java/sagefall/balancer/EndpointRegistry.java
@@ -56,11 +56,17 @@
     /**
      * Applies one entry of a list. An endpoint that is not usable can become usable again. The
      * revision of the list must then be at least the highest revision of the earlier lists that
-     * named the endpoint. So an outdated list does not end a drain.
+     * named the endpoint. So an outdated list does not end a drain. An entry of an earlier process
+     * in an outdated list has no effect on the current process.
      *
      * @return whether the subset tree has to be rebuilt
      */
     private boolean merge(ListedEndpoint entry, long revision) {
+        Endpoint known = endpoints.get(entry.id());
+        if (known != null && entry.isOfEarlierProcess(revision, known.entry(), known.revision())) {
+            known.markListed();
+            return false;
+        }
         Endpoint endpoint = findOrCreate(entry);
         boolean mayBecomeUsable = endpoint.isUsable() || revision >= endpoint.revision();
         boolean usable = entry.phase() == EndpointPhase.READY && mayBecomeUsable;
--- a/sidecar/src/main/java/sagefall/balancer/api/ListedEndpoint.java
+++ b/sidecar/src/main/java/sagefall/balancer/api/ListedEndpoint.java
@@ -20,4 +20,18 @@
         int cell,
         EndpointPhase phase,
         long startMicros,
-        double weight) {}
+        double weight) {
+
+    /**
+     * Returns whether this entry describes an earlier process than a known entry of the same id.
+     * This is the case if its list is older and its start is earlier. A list of a higher revision
+     * is right even if the start is earlier, because the clock of a machine may be set back.
+     *
+     * @param revision revision of the list of this entry
+     * @param known the known entry
+     * @param knownRevision highest revision of the lists that named the known process
+     */
+    public boolean isOfEarlierProcess(long revision, ListedEndpoint known, long knownRevision) {
+        return revision < knownRevision && startMicros < known.startMicros;
+    }
+}
--- a/sidecar/src/main/java/sagefall/balancer/health/Endpoint.java
+++ b/sidecar/src/main/java/sagefall/balancer/health/Endpoint.java
@@ -89,6 +89,11 @@
         listed = named;
     }
 
+    /** Marks the endpoint as listed, without any change of its entry. */
+    public void markListed() {
+        listed = true;
+    }
+
     /** Marks the endpoint as not listed, until a list names it again. */
     public void markUnlisted() {
         listed = false;
--- a/sidecar/src/main/java/sagefall/proxy/upstream/ConnectionPool.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/ConnectionPool.java
@@ -86,7 +86,10 @@
         Set<Long> listedIds = new HashSet<>();
         for (EndpointList.Entry entry : list.entries()) {
             listedIds.add(entry.endpoint().id());
-            endpointFor(entry).update(entry.endpoint());
+            PooledEndpoint known = endpoints.get(entry.endpoint().id());
+            if (known == null || !known.isLaterProcess(entry, list.revision())) {
+                endpointFor(entry).update(entry.endpoint(), list.revision());
+            }
         }
         if (list.complete()) {
             for (Map.Entry<Long, PooledEndpoint> known : endpoints.entrySet()) {
--- a/sidecar/src/main/java/sagefall/proxy/upstream/PooledEndpoint.java
+++ b/sidecar/src/main/java/sagefall/proxy/upstream/PooledEndpoint.java
@@ -33,6 +33,9 @@
     private ListedEndpoint listed;
     private State state = State.IN_SERVICE;
 
+    /** Highest revision of the endpoint lists that named this process. */
+    private long revision = Long.MIN_VALUE;
+
     /** Number of connections that are not closed. */
     private int connectionCount;
 
@@ -68,9 +71,15 @@
                 && entry.endpoint().startMicros() == listed.startMicros();
     }
 
+    /** Returns whether an entry of a list describes an earlier process than this endpoint. */
+    boolean isLaterProcess(EndpointList.Entry entry, long listRevision) {
+        return entry.endpoint().isOfEarlierProcess(listRevision, listed, revision);
+    }
+
     /** Applies the latest entry of this endpoint in an endpoint list. */
-    void update(ListedEndpoint latest) {
+    void update(ListedEndpoint latest, long listRevision) {
         listed = latest;
+        revision = Math.max(revision, listRevision);
         if (latest.phase() == EndpointPhase.READY) {
             state = State.IN_SERVICE;
         } else if (latest.phase() == EndpointPhase.REMOVED) {
