Of two listed servers with one address the one that started earlier is gone

Requests for the old id, with its zone, cell and state, would reach the new process; one that keeps to a zone for its key could run in another.

Cause: nothing compared the addresses of different ids.

Change: AddressTakeovers, before the pool and the balancer get a list, marks the earlier one as removed; with equal starts both stay.

--- a/sidecar/src/main/java/sagefall/proxy/EndpointUpdates.java
+++ b/sidecar/src/main/java/sagefall/proxy/EndpointUpdates.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import sagefall.balancer.api.EndpointListKind;
+import sagefall.discovery.AddressTakeovers;
 import sagefall.discovery.DiscoveryClient;
 import sagefall.discovery.EndpointList;
 import sagefall.proxy.upstream.ConnectionPool;
@@ -16,6 +17,7 @@
     private final ConnectionPool pool;
     private final EndpointRecorder recorder;
     private final Runnable onDiscoveryResult;
+    private final AddressTakeovers takeovers = new AddressTakeovers();
 
     /**
      * @param onDiscoveryResult task that runs after each endpoint list and each failure of
@@ -33,7 +35,8 @@
     }
 
     /** Passes an endpoint list to the connection pool and the balancer, without recording it. */
-    void apply(EndpointListKind kind, EndpointList list) {
+    void apply(EndpointListKind kind, EndpointList reported) {
+        EndpointList list = takeovers.apply(reported);
         pool.update(list);
         driver.deliver(
                 (balancer, now) ->
--- a/sidecar/src/test/java/sagefall/proxy/ServerRestartTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/ServerRestartTest.java
@@ -44,4 +44,19 @@
         assertEquals("new", harness.client().search(2_000).readResponse().body());
         assertEquals(2, server.accepted.get());
     }
+
+    /**
+     * A new id at the address of an old one that is still listed: the balancer learns that the old
+     * one has gone.
+     */
+    @Test
+    void earlierProcessAtTheAddressOfANewOneIsRemoved() throws Exception {
+        ScriptedPeer server = server(ScriptedPeer.respondsOk("new"));
+        SidecarHarness harness = harness(server).withPushedEndpoints();
+        ScriptedBalancer balancer = ScriptedBalancer.start(harness);
+        String withNewId =
+                restarted(2, false, server).replace("'s-" + server.port(), "'t-" + server.port());
+        harness.publishEndpoints(2, withNewId);
+        assertEquals(ScriptedBalancer.listOf(2), balancer.nextEvent());
+    }
 }
