--- a/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
@@ -75,6 +75,13 @@
         return this;
     }
 
+    /** Writes the extensions file that the process reads, from JSON with single quotes. */
+    SidecarProgram withExtensions(String quoted) throws IOException {
+        Path file = output.resolveSibling("program-extensions.json");
+        Files.writeString(file, SidecarHarness.json(quoted));
+        return withEnvironment("LB_EXTENSIONS", file.toString());
+    }
+
     /** Limits the number of file descriptors of the process. */
     SidecarProgram withDescriptorLimit(int descriptors) {
         String limit = "ulimit -n " + descriptors + " && exec \"$@\"";
