An upload counts as stopped only once what its client has sent is read

After an iteration of the event loop of over 500 ms all uploads seemed to have stopped, and at the limit of uploads a sound one was ended for a new one.

Cause: UploadLimiter looked at the time of the last progress that the loop had read, not at what waits in the socket.

Change: before an upload is ended its client is read, and its progress is looked at again.

Measured: the new test of StreamedUploadTest fails without the read (the new upload is taken in place of one that went on) and passes with it, one run each; with the read StoppedUploadsTest passes too, and StreamedResponseTest.

--- a/sidecar/src/main/java/sagefall/proxy/downstream/UploadLimiter.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/UploadLimiter.java
@@ -2,8 +2,10 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import sagefall.http.HttpClientConnection;
 import sagefall.logging.LogEvent;
 import sagefall.logging.LogLine;
 import sagefall.logging.LogRateLimit;
@@ -64,25 +66,38 @@
         }
         lineDue = true;
         ClientConnection stopped = oldestStopped();
-        if (stopped == null) {
+        if (stopped != null) {
+            stoppedUploads++;
+            stopped.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, TOO_MANY_UPLOADS);
+        }
+        boolean hasRoom = uploading.size() < maxUploads;
+        if (!hasRoom) {
             rejectedUploads++;
-            return false;
         }
-        stoppedUploads++;
-        stopped.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, TOO_MANY_UPLOADS);
-        return true;
+        return hasRoom;
     }
 
+    /**
+     * Returns the oldest upload whose client has stopped, or null. First reads what such a client
+     * has sent, because after a late iteration of the event loop all clients seem to have stopped.
+     */
     private ClientConnection oldestStopped() {
-        for (ClientConnection connection : uploading) {
-            ClientExchange exchange = connection.exchange();
-            if (exchange != null && exchange.uploadMillisWithoutProgress() > STOPPED_MILLIS) {
-                return connection;
+        for (ClientConnection connection : List.copyOf(uploading)) {
+            if (isStopped(connection)) {
+                HttpClientConnection.readAvailableFrom(connection.channel());
+                if (isStopped(connection)) {
+                    return connection;
+                }
             }
         }
         return null;
     }
 
+    private static boolean isStopped(ClientConnection connection) {
+        ClientExchange exchange = connection.exchange();
+        return exchange != null && exchange.uploadMillisWithoutProgress() > STOPPED_MILLIS;
+    }
+
     /** Logs that the limit was reached since the last line. Called periodically. */
     void logLimitReached() {
         if (lineDue && logRateLimit.tryAcquire()) {
--- a/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/StreamedUploadTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -88,6 +89,40 @@
         }
     }
 
+    /**
+     * Guards against uploads that count as stopped because the event loop was late: at the limit of
+     * uploads, a new one is rejected then and not one whose client has gone on sending.
+     */
+    @Test
+    void uploadsThatGoOnDuringAStallAreNotEndedForANewOne() throws Exception {
+        SidecarHarness limited = newHarness().withConfig("'sockets':1024", "'sockets':128");
+        start(limited.withExtensions(streaming("")));
+        int maxUploads = limited.config().settings().limits().maxOpenRequests() / 2;
+        List<RawConnection> uploads = new ArrayList<>();
+        for (int i = 0; i < maxUploads; i++) {
+            uploads.add(connect().write(appendRequest("Transfer-Encoding: chunked")).chunk("a"));
+            acceptRequest().chunk();
+        }
+        limited.whileLoopIsStalled(
+                () -> {
+                    TimeUnit.MILLISECONDS.sleep(600);
+                    client.write(appendRequest("Transfer-Encoding: chunked")).chunk("a");
+                    for (RawConnection upload : uploads) {
+                        upload.chunk("b".repeat(2_000));
+                    }
+                },
+                () -> {});
+        assertStatus(503, client);
+        for (RawConnection upload : uploads) {
+            upload.write(LAST_CHUNK);
+        }
+        while (!limited.log.toString(UTF_8).contains("upload_limit_reached")) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        String log = limited.log.toString(UTF_8);
+        assertTrue(log.contains(" stopped_uploads=0 rejected_uploads=1"), log);
+    }
+
     /**
      * Guards against a fault in which the rejection of an upload whose body came with its head
      * failed, so that the client got another reason.
