The log of a shutdown tells why a response would come too late

Cause: nothing in the log told apart why SIGKILL finds requests unanswered: they come late, are queued or retried, their response is not written, or the process notices the signal late.

Change: shutdown_started has the delay from the notice of the signal to the event loop, and the latest time of a response. shutdown_ending counts, at that time, what has no response: late requests, retried ones, queued ones, unwritten responses, and how late the timer was. ShutdownSchedule computes the times from the longest deadline of the settings; nothing acts on them yet.

--- a/sidecar/src/main/java/sagefall/logging/LogEvent.java
+++ b/sidecar/src/main/java/sagefall/logging/LogEvent.java
@@ -46,6 +46,13 @@
     UPLOAD_LIMIT_REACHED("upload_limit_reached", LogLevel.WARN),
     /** An iteration of the event loop took so long that requests are answered late. */
     EVENT_LOOP_STALLED("event_loop_stalled", LogLevel.WARN),
+    /** A signal to shut down was received. */
+    SHUTDOWN_STARTED("shutdown_started", LogLevel.INFO),
+    /**
+     * The latest time of a response has come while connections are still open. The log line counts
+     * what has no response yet.
+     */
+    SHUTDOWN_ENDING("shutdown_ending", LogLevel.WARN),
     /**
      * The sidecar shuts down. The log line reports the maximum amount of data that all streams
      * together buffered.
--- a/sidecar/src/main/java/sagefall/proxy/BalancerRequestHandler.java
+++ b/sidecar/src/main/java/sagefall/proxy/BalancerRequestHandler.java
@@ -64,13 +64,13 @@
         long now = clock.micros();
         byte[] body = ByteBufUtil.getBytes(http.content());
         ProxiedRequest request = parser.parse(now, http, body, null, streaming, client);
-        register(request);
+        register(request, now);
         requests.startDeadline(request);
         driver.deliver(request, (balancer, at) -> balancer.onRequest(at, request.request));
     }
 
-    private void register(ProxiedRequest request) throws BadRequestException {
-        if (!requests.add(request)) {
+    private void register(ProxiedRequest request, long now) throws BadRequestException {
+        if (!requests.add(request, now)) {
             throw new BadRequestException("this " + ProtocolHeaders.REQUEST_ID + " is in hand");
         }
     }
@@ -86,7 +86,7 @@
             throws BadRequestException {
         long now = clock.micros();
         ProxiedRequest request = parser.parse(now, head, null, upload, streaming, client);
-        register(request);
+        register(request, now);
         upload.setListener(new UploadListener(request, now));
         driver.deliver(request, (balancer, at) -> balancer.onRequest(at, request.request));
     }
@@ -111,6 +111,7 @@
         @Override
         public void uploadComplete() {
             long now = clock.micros();
+            request.completeAtMicros = now;
             request.deadlineMicros = now + request.request.deadlineMicros() - headMicros;
             requests.startDeadline(request);
             driver.deliver(
--- a/sidecar/src/main/java/sagefall/proxy/InFlightRequests.java
+++ b/sidecar/src/main/java/sagefall/proxy/InFlightRequests.java
@@ -1,5 +1,6 @@
 package sagefall.proxy;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import sagefall.buffer.BufferMemory;
@@ -32,7 +33,8 @@
      * Adds a request unless a request with the same id is in flight. Returns whether the request
      * was added.
      */
-    boolean add(ProxiedRequest request) {
+    boolean add(ProxiedRequest request, long nowMicros) {
+        request.completeAtMicros = nowMicros;
         if (byId.putIfAbsent(request.request.id(), request) != null) {
             return false;
         }
@@ -51,6 +53,11 @@
         return byClient.get(client);
     }
 
+    /** Returns the requests whose clients still wait for a response. */
+    Collection<ProxiedRequest> withoutResponse() {
+        return byClient.values();
+    }
+
     /** Starts or restarts the timer that ends the request shortly after its deadline. */
     void startDeadline(ProxiedRequest request) {
         deadlines.set(request, request.deadlineMicros + DEADLINE_GRACE_MICROS);
--- a/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
+++ b/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
@@ -139,6 +139,12 @@
      */
     long deadlineMicros;
 
+    /**
+     * Time at which the last byte of the request was read, in microseconds; for a streamed upload
+     * that is not complete, the time at which its head was read.
+     */
+    long completeAtMicros;
+
     /** Expiry time, used by {@link DeadlineTimers} while it holds this request. */
     long expiresAtMicros;
 
--- a/sidecar/src/main/java/sagefall/proxy/SidecarProcess.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarProcess.java
@@ -189,7 +189,8 @@
      * not persisted yet. Runs on the thread of the shutdown hook.
      */
     private void shutDown() {
-        loop.execute(() -> server.stop(stopped::countDown));
+        long noticedAtNanos = System.nanoTime();
+        loop.execute(() -> server.stop(noticedAtNanos, stopped::countDown));
         try {
             stopped.await();
         } catch (InterruptedException e) {
--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import sagefall.balancer.DefaultLoadBalancer;
@@ -24,6 +25,7 @@
 import sagefall.logging.LogLine;
 import sagefall.persistence.EndpointSnapshot;
 import sagefall.persistence.SnapshotStore;
+import sagefall.proxy.downstream.ConnectionCounts;
 import sagefall.proxy.downstream.DownstreamListener;
 import sagefall.proxy.upstream.ConnectionPool;
 import sagefall.streaming.BufferAccounting;
@@ -37,6 +39,7 @@
 final class SidecarServer {
 
     private final EventLoop loop;
+    private final WallClock clock = new WallClock();
     private final LoopLatencyClock latencyClock;
     private final SidecarConfig config;
     private final Consumer<String> log;
@@ -50,6 +53,7 @@
     private final RecoveryStartup recovery;
     private final BalancerRequestHandler requestHandler;
     private final DownstreamListener listener;
+    private final ShutdownLog shutdownLog;
 
     /** Completes with the listening address once clients can connect. */
     private final CompletableFuture<InetSocketAddress> started = new CompletableFuture<>();
@@ -75,11 +79,11 @@
         this.latencyClock = latencyClock;
         this.config = config;
         log = line -> logStream.println(config.name() + " " + line);
-        WallClock clock = new WallClock();
         DeadlineTimers deadlines = new DeadlineTimers(loop, clock, this::expire);
         memory = new BufferMemory(BufferLimits.ofJvm(), log);
         InFlightRequests requests = new InFlightRequests(deadlines, memory);
         ResponseWriter responses = new ResponseWriter(requests);
+        shutdownLog = new ShutdownLog(log, requests);
         driver =
                 new BalancerDriver(
                         clock,
@@ -264,15 +268,40 @@
      * Waits until all requests in flight have completed, then closes all connections. Does not
      * block; only the first call has an effect.
      *
+     * @param noticedAtNanos time of {@link System#nanoTime()} at which the process noticed the
+     *     signal to shut down
      * @param stopped task that runs on the event loop once all connections are closed
      */
-    void stop(Runnable stopped) {
+    void stop(long noticedAtNanos, Runnable stopped) {
         if (!state.isStopping()) {
             state = state.transitionTo(LifecycleState.DRAINING);
+            ShutdownSchedule schedule = shutdownSchedule(noticedAtNanos);
+            shutdownLog.started(schedule, listener.connectionCounts());
+            loop.schedule(
+                    () -> logEnding(schedule),
+                    ShutdownSchedule.nanosUntil(schedule.latestResponseNanos()),
+                    TimeUnit.NANOSECONDS);
             listener.shutDownGracefully(() -> onDrained(stopped));
         }
     }
 
+    /** Returns the schedule of a shutdown. May be called on any thread. */
+    ShutdownSchedule shutdownSchedule(long noticedAtNanos) {
+        return ShutdownSchedule.of(noticedAtNanos, config.settings().classes());
+    }
+
+    private void logEnding(ShutdownSchedule schedule) {
+        ConnectionCounts open = listener.connectionCounts();
+        if (open.connections() > 0) {
+            shutdownLog.ending(schedule, microsAt(schedule.lateRequestsFromNanos()), open);
+        }
+    }
+
+    /** Converts a time of {@link System#nanoTime()} to Unix time in microseconds. */
+    private long microsAt(long nanos) {
+        return clock.micros() + TimeUnit.NANOSECONDS.toMicros(ShutdownSchedule.nanosUntil(nanos));
+    }
+
     private void onDrained(Runnable stopped) {
         discovery.close();
         pool.close();
--- a/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
@@ -210,6 +210,11 @@
                 .count();
     }
 
+    /** Returns the numbers of client connections by what they wait for. */
+    public ConnectionCounts connectionCounts() {
+        return ConnectionCounts.of(connections);
+    }
+
     /** Returns the open connections, in the order in which they were accepted. */
     Set<ClientConnection> connections() {
         return connections;
--- a/sidecar/src/test/java/sagefall/proxy/RaceConditionTest.java
+++ b/sidecar/src/test/java/sagefall/proxy/RaceConditionTest.java
@@ -496,7 +496,7 @@
         harness.loop
                 .submit(
                         () -> {
-                            harness.sidecar.stop(stopped::countDown);
+                            harness.sidecar.stop(System.nanoTime(), stopped::countDown);
                             harness.loop.schedule(
                                     () -> {
                                         peers.run();
--- a/sidecar/src/test/java/sagefall/proxy/SidecarHarness.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarHarness.java
@@ -324,7 +324,7 @@
     /** Begins a graceful shutdown; the returned latch opens when the sidecar has stopped. */
     CountDownLatch stop() {
         CountDownLatch stopped = new CountDownLatch(1);
-        loop.execute(() -> sidecar.stop(stopped::countDown));
+        loop.execute(() -> sidecar.stop(System.nanoTime(), stopped::countDown));
         return stopped;
     }
 
