A shutdown limits the deadlines of all requests to what SIGKILL leaves

Cause: each request kept the time of its client. Nothing on the way of a request knows that the process has an end, which follows from the settings: the longest deadline, at most 3 s, and 0.7 s after SIGTERM.

Change: DeadlineLimit, which every deadline passes: that of a request that is read, of an upload that completes, and of the requests that are open at the signal. The balancer learns the shorter time as the deadline of the request, or by the new event onDeadlineShortened, so retries and the queue keep to it. The limit is 0.35 s before the earliest SIGKILL: 0.1 s for the notice of the signal, 0.15 s for a suspension after the clock was read, 0.1 s to write, close and exit.

Why this works: a request with time left is still forwarded and served by a quick server; one with too little left is rejected by the existing rule, unforwarded.

--- a/sidecar/src/main/java/sagefall/balancer/DefaultLoadBalancer.java
+++ b/sidecar/src/main/java/sagefall/balancer/DefaultLoadBalancer.java
@@ -90,6 +90,11 @@
         dispatcher.onUploadComplete(now, requestId, deadlineMicros);
     }
 
+    @Override
+    public void onDeadlineShortened(long now, String requestId, long deadlineMicros) {
+        dispatcher.onDeadlineShortened(requestId, deadlineMicros);
+    }
+
     @Override
     public void onReplayBufferExceeded(long now, String requestId) {
         dispatcher.onReplayBufferExceeded(requestId);
--- a/sidecar/src/main/java/sagefall/balancer/RequestDispatcher.java
+++ b/sidecar/src/main/java/sagefall/balancer/RequestDispatcher.java
@@ -210,6 +210,14 @@
         }
     }
 
+    /** Shortens the time of a request, for its retries and its time in the queue alike. */
+    void onDeadlineShortened(String requestId, long deadlineAt) {
+        PendingRequest request = openRequests.get(requestId);
+        if (request != null) {
+            request.times().shorten(deadlineAt);
+        }
+    }
+
     /** Notes that the body of an upload can't be sent to another endpoint any more. */
     void onReplayBufferExceeded(String requestId) {
         PendingRequest request = openRequests.get(requestId);
--- a/sidecar/src/main/java/sagefall/balancer/api/LoadBalancer.java
+++ b/sidecar/src/main/java/sagefall/balancer/api/LoadBalancer.java
@@ -55,6 +55,14 @@
      */
     void onUploadComplete(long nowMicros, String requestId, long deadlineMicros);
 
+    /**
+     * Shortens the time of an open request: the host can't respond after the given deadline, for
+     * example because it shuts down. Ignores unknown requests and later deadlines.
+     *
+     * @param deadlineMicros deadline that replaces the earlier deadline of the request
+     */
+    default void onDeadlineShortened(long nowMicros, String requestId, long deadlineMicros) {}
+
     /**
      * Handles an overflow of the replay buffer of an upload. More of the body has been forwarded
      * than the buffer holds, so the upload can't be sent to another endpoint.
--- a/sidecar/src/main/java/sagefall/balancer/request/RequestTimes.java
+++ b/sidecar/src/main/java/sagefall/balancer/request/RequestTimes.java
@@ -36,6 +36,11 @@
         return deadlineAt;
     }
 
+    /** Sets an earlier deadline; a later one is ignored. */
+    public void shorten(long newDeadlineAt) {
+        deadlineAt = Math.min(deadlineAt, newDeadlineAt);
+    }
+
     /**
      * Restarts the measurement of the latency at the last byte of an upload, and sets the new
      * deadline.
--- a/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
+++ b/sidecar/src/main/java/sagefall/proxy/AttemptForwarder.java
@@ -94,7 +94,7 @@
         attempt.latestStartMicros = latestStartMicros;
         request.attempts.add(attempt);
         request.attemptsInFlight++;
-        if (request.upload == null || request.upload.isComplete()) {
+        if (request.isComplete()) {
             scheduleTimeout(attempt, now);
         }
         pool.send(attempt);
@@ -118,6 +118,23 @@
                 : Math.min(request.deadlineMicros, now + timeoutMicros);
     }
 
+    /** Ends the attempts in flight of a request at its deadline, which is earlier than before. */
+    void shortenTimeouts(ProxiedRequest request) {
+        for (ForwardedAttempt attempt : request.attempts) {
+            if (attempt.result == null && attempt.deadlineMicros > request.deadlineMicros) {
+                attempt.deadlineMicros = request.deadlineMicros;
+                restartTimeout(attempt, clock.micros());
+            }
+        }
+    }
+
+    private void restartTimeout(ForwardedAttempt attempt, long now) {
+        if (attempt.timeoutTimer != null) {
+            attempt.timeoutTimer.cancel(false);
+            scheduleTimeout(attempt, now);
+        }
+    }
+
     /**
      * Cancels an attempt. An unknown request, an unknown attempt and an attempt that has ended are
      * ignored.
--- a/sidecar/src/main/java/sagefall/proxy/BalancerRequestHandler.java
+++ b/sidecar/src/main/java/sagefall/proxy/BalancerRequestHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import sagefall.balancer.api.BalancerSettings;
 import sagefall.balancer.api.RequestClass;
@@ -20,6 +21,7 @@
 final class BalancerRequestHandler implements RequestHandler {
 
     private final WallClock clock;
+    private final DeadlineLimit deadlineLimit = new DeadlineLimit();
     private final RequestParser parser;
     private final BalancerDriver driver;
     private final InFlightRequests requests;
@@ -38,7 +40,7 @@
             AttemptForwarder forwarder,
             BooleanSupplier readiness) {
         this.clock = clock;
-        parser = new RequestParser(settings);
+        parser = new RequestParser(settings, deadlineLimit);
         this.driver = driver;
         this.requests = requests;
         this.forwarder = forwarder;
@@ -50,6 +52,35 @@
         streaming = settings;
     }
 
+    /**
+     * Limits the deadlines of all requests, those that are open and those that arrive later. Has no
+     * effect on a streamed response that has begun, because no deadline applies to it.
+     */
+    void limitDeadlines(long latestMicros) {
+        deadlineLimit.set(latestMicros);
+        List.copyOf(requests.withoutResponse()).forEach(this::shortenDeadline);
+    }
+
+    private void shortenDeadline(ProxiedRequest request) {
+        long deadline = deadlineLimit.apply(request.deadlineMicros);
+        if (deadline == request.deadlineMicros || request.streamingAttempt != null) {
+            return;
+        }
+        request.deadlineMicros = deadline;
+        if (request.isComplete()) {
+            requests.startDeadline(request);
+        }
+        forwarder.shortenTimeouts(request);
+        driver.deliver(
+                request,
+                (balancer, at) -> balancer.onDeadlineShortened(at, request.request.id(), deadline));
+    }
+
+    /** Returns the number of deadlines that {@link #limitDeadlines} has shortened so far. */
+    int shortenedDeadlines() {
+        return deadlineLimit.shortenedCount();
+    }
+
     @Override
     public boolean hasReadyEndpoint() {
         return readiness.getAsBoolean();
@@ -112,7 +143,8 @@
         public void uploadComplete() {
             long now = clock.micros();
             request.completeAtMicros = now;
-            request.deadlineMicros = now + request.request.deadlineMicros() - headMicros;
+            request.deadlineMicros =
+                    deadlineLimit.apply(now + request.request.deadlineMicros() - headMicros);
             requests.startDeadline(request);
             driver.deliver(
                     request,
--- a/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
+++ b/sidecar/src/main/java/sagefall/proxy/ProxiedRequest.java
@@ -176,6 +176,11 @@
         this.client = client;
     }
 
+    /** Returns whether the last byte of the request has been read. */
+    boolean isComplete() {
+        return upload == null || upload.isComplete();
+    }
+
     /** Returns the heap memory of the body, unless it is streamed, and of the header fields. */
     long heapBytes() {
         long bodyBytes = body == null ? 0 : body.length;
--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -277,6 +277,7 @@
             state = state.transitionTo(LifecycleState.DRAINING);
             ShutdownSchedule schedule = shutdownSchedule(noticedAtNanos);
             shutdownLog.started(schedule, listener.connectionCounts());
+            requestHandler.limitDeadlines(microsAt(schedule.latestResponseNanos()));
             loop.schedule(
                     () -> logEnding(schedule),
                     ShutdownSchedule.nanosUntil(schedule.latestResponseNanos()),
--- a/sidecar/src/main/java/sagefall/proxy/downstream/RequestParser.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/RequestParser.java
@@ -15,6 +15,7 @@
 import sagefall.balancer.api.RequestClass;
 import sagefall.discovery.StableHash;
 import sagefall.http.ProtocolHeaders;
+import sagefall.proxy.DeadlineLimit;
 import sagefall.proxy.ProxiedRequest;
 import sagefall.streaming.StreamedUpload;
 import sagefall.streaming.StreamingSettings;
@@ -44,12 +45,18 @@
     private static final long NO_KEY = -1;
 
     private final BalancerSettings settings;
+    private final DeadlineLimit deadlineLimit;
     private final Map<String, Integer> classIndexes = new HashMap<>();
     private final Map<String, Integer> tenantIndexes = new HashMap<>();
 
-    /** Creates a parser for the request classes and tenants of the given settings. */
-    public RequestParser(BalancerSettings settings) {
+    /**
+     * Creates a parser for the request classes and tenants of the given settings.
+     *
+     * @param deadlineLimit the latest deadline of the requests
+     */
+    public RequestParser(BalancerSettings settings, DeadlineLimit deadlineLimit) {
         this.settings = settings;
+        this.deadlineLimit = deadlineLimit;
         for (int i = 0; i < settings.classes().size(); i++) {
             classIndexes.put(settings.classes().get(i).name(), i);
         }
@@ -60,7 +67,7 @@
 
     /**
      * Parses a request. The deadline of the request is the earliest time at which the request can
-     * have arrived, plus the client's timeout, minus the transit margin.
+     * have arrived, plus the client's timeout, minus the transit margin; at most the limit.
      *
      * @param now the current time in microseconds
      * @param http the message, or its head if the body is streamed; its reference count does not
@@ -117,7 +124,7 @@
                 tenant(headers),
                 headers.contains(ProtocolHeaders.RETRY, "1", false),
                 key(http.uri()),
-                deadlineMicros(now, waitedMicros, timeoutMicros),
+                deadlineLimit.apply(deadlineMicros(now, waitedMicros, timeoutMicros)),
                 requestClass.idempotency() != Idempotency.IDEMPOTENT,
                 uploading,
                 streaming.reservedBytes(uploading, responseStreamed),
