A shutdown ends by itself before SIGKILL, and whatever is open then is answered

What callers saw: clients whose request was not whole at SIGKILL got no answer where deadlines are short (the read limit of 2 s ends after it: 408 came too late); so did uploads and streams within drain_ms, and connections that waited to be accepted at the connection limit. A client that did not read its response kept the process up to SIGKILL.

Cause: the shutdown waited for the last connection, and each state of a connection has a limit of its own. Nothing bounded their sum.

Change: at the end of ShutdownSchedule, 10 ms after the last deadline, GracefulShutdown accepts what waits, reads what has arrived, rejects unfinished requests with 503, answers the rest with 504, aborts streams, and goes on so for 60 ms at least, so that clients can read their response; then it closes all connections. The shutdown hook waits until 30 ms before the earliest SIGKILL at the most, should the loop not come to it. shutdown_ended tells how long it took and what was cut; shutdown_stalled that the hook did not wait any longer.

--- a/sidecar/src/main/java/sagefall/logging/LogEvent.java
+++ b/sidecar/src/main/java/sagefall/logging/LogEvent.java
@@ -49,10 +49,14 @@
     /** A signal to shut down was received. */
     SHUTDOWN_STARTED("shutdown_started", LogLevel.INFO),
     /**
-     * The latest time of a response has come while connections are still open. The log line counts
-     * what has no response yet.
+     * The end of the shutdown has come while connections are still open. The log line counts what
+     * has no response yet.
      */
     SHUTDOWN_ENDING("shutdown_ending", LogLevel.WARN),
+    /** All connections are closed, and the process exits. */
+    SHUTDOWN_ENDED("shutdown_ended", LogLevel.INFO),
+    /** The event loop did not close the connections in time; the process exits all the same. */
+    SHUTDOWN_STALLED("shutdown_stalled", LogLevel.ERROR),
     /**
      * The sidecar shuts down. The log line reports the maximum amount of data that all streams
      * together buffered.
--- a/sidecar/src/main/java/sagefall/proxy/ShutdownLog.java
+++ b/sidecar/src/main/java/sagefall/proxy/ShutdownLog.java
@@ -5,6 +5,7 @@
 import sagefall.logging.LogEvent;
 import sagefall.logging.LogLine;
 import sagefall.proxy.downstream.ConnectionCounts;
+import sagefall.proxy.downstream.ShutdownCuts;
 
 /**
  * Logs the steps of a shutdown with what is open at each of them. The fields distinguish why a
@@ -33,7 +34,18 @@
                         .toString());
     }
 
-    /** Logs what has no response at the latest time of a response. */
+    /** Logs how long the shutdown took, and what it cut. */
+    void ended(ShutdownSchedule schedule, int shortenedDeadlines, ShutdownCuts cuts) {
+        log.accept(
+                LogLine.of(LogEvent.SHUTDOWN_ENDED)
+                        .with("took_ms", millisSince(schedule.noticedAtNanos()))
+                        .with("shortened_deadlines", shortenedDeadlines)
+                        .with("ended_requests", cuts.endedRequests())
+                        .with("unread_responses", cuts.unreadResponses())
+                        .toString());
+    }
+
+    /** Logs what has no response when the remaining requests are ended. */
     void ending(ShutdownSchedule schedule, long lateRequestsFromMicros, ConnectionCounts open) {
         int late = 0;
         int retried = 0;
@@ -45,7 +57,7 @@
         }
         log.accept(
                 LogLine.of(LogEvent.SHUTDOWN_ENDING)
-                        .with("timer_delay_ms", millisSince(schedule.latestResponseNanos()))
+                        .with("timer_delay_ms", millisSince(schedule.endNanos()))
                         .with("unfinished_requests", open.unfinishedRequests())
                         .with("open_requests", open.openRequests())
                         .with("late_requests", late)
--- a/sidecar/src/main/java/sagefall/proxy/ShutdownSchedule.java
+++ b/sidecar/src/main/java/sagefall/proxy/ShutdownSchedule.java
@@ -10,13 +10,17 @@
  * before the earliest possible time of SIGKILL.
  *
  * @param noticedAtNanos time at which the process noticed the signal
- * @param latestResponseNanos latest time of a response; requests without a response at this time
- *     are rejected or failed
+ * @param latestResponseNanos latest deadline of a request
+ * @param endNanos time at which everything that has no response yet is ended
  * @param closeNanos time at which connections that are still open are closed
  * @param exitNanos time at which the process exits even if connections could not be closed
  */
 public record ShutdownSchedule(
-        long noticedAtNanos, long latestResponseNanos, long closeNanos, long exitNanos) {
+        long noticedAtNanos,
+        long latestResponseNanos,
+        long endNanos,
+        long closeNanos,
+        long exitNanos) {
 
     /** Deadlines of request classes that are longer count as this duration. */
     private static final long MAX_COUNTED_DEADLINE_MILLIS = 3_000;
@@ -36,8 +40,11 @@
     /** Time for releasing the lease, for writing the last changes to disk, and for the exit. */
     private static final long EXIT_MILLIS = 30;
 
-    /** Time for writing the last responses and for their way to the clients. */
-    private static final long LAST_RESPONSES_MILLIS = 70;
+    /** Minimum time for clients to read their last response before its connection is closed. */
+    private static final long LINGER_MILLIS = 60;
+
+    /** Time in which requests end at their deadline before everything else is ended. */
+    private static final long DEADLINE_GRACE_MILLIS = 10;
 
     /**
      * Returns the schedule of a shutdown.
@@ -46,15 +53,23 @@
      * @param classes the request classes of the settings in force
      */
     static ShutdownSchedule of(long noticedAtNanos, List<RequestClass> classes) {
-        long killMillis = longestDeadlineMillis(classes) + KILL_DELAY_MILLIS;
-        long exitMillis = killMillis - SIGNAL_DELAY_MILLIS - SUSPENSION_MILLIS;
-        long closeMillis = exitMillis - EXIT_MILLIS;
-        long latestResponseMillis = closeMillis - LAST_RESPONSES_MILLIS;
+        long exitMillis =
+                longestDeadlineMillis(classes)
+                        + KILL_DELAY_MILLIS
+                        - SIGNAL_DELAY_MILLIS
+                        - EXIT_MILLIS;
+        long closeMillis = exitMillis - SUSPENSION_MILLIS;
+        long endMillis = closeMillis - LINGER_MILLIS;
         return new ShutdownSchedule(
                 noticedAtNanos,
-                noticedAtNanos + TimeUnit.MILLISECONDS.toNanos(latestResponseMillis),
-                noticedAtNanos + TimeUnit.MILLISECONDS.toNanos(closeMillis),
-                noticedAtNanos + TimeUnit.MILLISECONDS.toNanos(exitMillis));
+                plusMillis(noticedAtNanos, endMillis - DEADLINE_GRACE_MILLIS),
+                plusMillis(noticedAtNanos, endMillis),
+                plusMillis(noticedAtNanos, closeMillis),
+                plusMillis(noticedAtNanos, exitMillis));
+    }
+
+    private static long plusMillis(long nanos, long millis) {
+        return nanos + TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
     /**
@@ -74,7 +89,7 @@
      * Returns the time from which a request counts as late: SIGKILL must not find it unanswered.
      */
     long lateRequestsFromNanos() {
-        return noticedAtNanos + TimeUnit.MILLISECONDS.toNanos(KILL_DELAY_MILLIS);
+        return plusMillis(noticedAtNanos, KILL_DELAY_MILLIS);
     }
 
     /** Returns the time from the signal to the latest time of a response, in milliseconds. */
@@ -82,6 +97,14 @@
         return TimeUnit.NANOSECONDS.toMillis(latestResponseNanos - noticedAtNanos);
     }
 
+    /**
+     * Returns the time at which connections are closed, if their requests were ended at the given
+     * time. Clients that got their response late have the same minimum time to read it.
+     */
+    public long closeNanosAfterEnd(long endedAtNanos) {
+        return Math.max(closeNanos, plusMillis(endedAtNanos, LINGER_MILLIS));
+    }
+
     /** Returns the nanoseconds until the given time; negative if the time has passed. */
     public static long nanosUntil(long timeNanos) {
         return timeNanos - System.nanoTime();
--- a/sidecar/src/main/java/sagefall/proxy/SidecarProcess.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarProcess.java
@@ -191,11 +191,7 @@
     private void shutDown() {
         long noticedAtNanos = System.nanoTime();
         loop.execute(() -> server.stop(noticedAtNanos, stopped::countDown));
-        try {
-            stopped.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        awaitStopped(server.shutdownSchedule(noticedAtNanos));
         if (leaderElection != null) {
             leaderElection.close();
         }
@@ -204,6 +200,21 @@
         }
     }
 
+    /**
+     * Waits until the connections are closed, or until the process has to exit although the event
+     * loop has not closed them.
+     */
+    private void awaitStopped(ShutdownSchedule schedule) {
+        try {
+            long timeoutNanos = ShutdownSchedule.nanosUntil(schedule.exitNanos());
+            if (!stopped.await(timeoutNanos, TimeUnit.NANOSECONDS)) {
+                server.log(LogLine.of(LogEvent.SHUTDOWN_STALLED).toString());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private long elapsedMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
     }
--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -25,8 +25,9 @@
 import sagefall.logging.LogLine;
 import sagefall.persistence.EndpointSnapshot;
 import sagefall.persistence.SnapshotStore;
-import sagefall.proxy.downstream.ConnectionCounts;
 import sagefall.proxy.downstream.DownstreamListener;
+import sagefall.proxy.downstream.ShutdownCuts;
+import sagefall.proxy.downstream.ShutdownListener;
 import sagefall.proxy.upstream.ConnectionPool;
 import sagefall.streaming.BufferAccounting;
 import sagefall.streaming.StreamingSettings;
@@ -278,11 +279,7 @@
             ShutdownSchedule schedule = shutdownSchedule(noticedAtNanos);
             shutdownLog.started(schedule, listener.connectionCounts());
             requestHandler.limitDeadlines(microsAt(schedule.latestResponseNanos()));
-            loop.schedule(
-                    () -> logEnding(schedule),
-                    ShutdownSchedule.nanosUntil(schedule.latestResponseNanos()),
-                    TimeUnit.NANOSECONDS);
-            listener.shutDownGracefully(() -> onDrained(stopped));
+            listener.shutDownGracefully(schedule, new Drain(schedule, stopped));
         }
     }
 
@@ -291,24 +288,38 @@
         return ShutdownSchedule.of(noticedAtNanos, config.settings().classes());
     }
 
-    private void logEnding(ShutdownSchedule schedule) {
-        ConnectionCounts open = listener.connectionCounts();
-        if (open.connections() > 0) {
-            shutdownLog.ending(schedule, microsAt(schedule.lateRequestsFromNanos()), open);
-        }
-    }
-
     /** Converts a time of {@link System#nanoTime()} to Unix time in microseconds. */
     private long microsAt(long nanos) {
         return clock.micros() + TimeUnit.NANOSECONDS.toMicros(ShutdownSchedule.nanosUntil(nanos));
     }
 
-    private void onDrained(Runnable stopped) {
-        discovery.close();
-        pool.close();
-        logStreamBuffers();
-        state = state.transitionTo(LifecycleState.STOPPED);
-        stopped.run();
+    /** Logs the end of a shutdown, and completes the shutdown when the listener is closed. */
+    private final class Drain implements ShutdownListener {
+        private final ShutdownSchedule schedule;
+        private final Runnable stopped;
+
+        Drain(ShutdownSchedule schedule, Runnable stopped) {
+            this.schedule = schedule;
+            this.stopped = stopped;
+        }
+
+        @Override
+        public void ending() {
+            shutdownLog.ending(
+                    schedule,
+                    microsAt(schedule.lateRequestsFromNanos()),
+                    listener.connectionCounts());
+        }
+
+        @Override
+        public void closed(ShutdownCuts cuts) {
+            discovery.close();
+            pool.close();
+            logStreamBuffers();
+            shutdownLog.ended(schedule, requestHandler.shortenedDeadlines(), cuts);
+            state = state.transitionTo(LifecycleState.STOPPED);
+            stopped.run();
+        }
     }
 
     private void logStreamBuffers() {
--- a/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/ClientConnection.java
@@ -34,6 +34,9 @@
      */
     static final long FIRST_REQUEST_GRACE_MILLIS = 100;
 
+    /** The body of the response to a request that a shutdown ends. */
+    private static final String SHUTTING_DOWN = "shutting down";
+
     private final DownstreamListener listener;
     private final Channel channel;
     private final ClientBuffers buffers;
@@ -300,6 +303,33 @@
         }
     }
 
+    /**
+     * Ends the current request at the end of a shutdown, after reading what has arrived. An
+     * unfinished request is rejected, and so is one whose response has not begun; a streamed
+     * response is aborted. A connection between requests is half-closed, unless its first request
+     * may still arrive.
+     *
+     * @return whether there was a request to end
+     */
+    boolean endRequest() {
+        if (!state.discardsInput()) {
+            HttpClientConnection.readAvailableFrom(channel);
+        }
+        switch (state) {
+            case READING_REQUEST -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE, SHUTTING_DOWN);
+            case READING_BODY, IN_FLIGHT ->
+                    reject(HttpResponseStatus.GATEWAY_TIMEOUT, SHUTTING_DOWN);
+            case IDLE -> {
+                halfClose();
+                return false;
+            }
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
     DownstreamListener listener() {
         return listener;
     }
--- a/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/DownstreamListener.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import sagefall.buffer.BufferMemory;
 import sagefall.proxy.LoopLatencyClock;
+import sagefall.proxy.ShutdownSchedule;
 import sagefall.streaming.BufferAccounting;
 import sagefall.streaming.StreamingSettings;
 
@@ -124,16 +125,14 @@
     }
 
     /**
-     * Shuts down gracefully, see {@link GracefulShutdown}.
-     *
-     * @param onClosed task that runs when all connections and the listening socket are closed; runs
-     *     at once if {@link #listen} has not been called
+     * Shuts down gracefully, see {@link GracefulShutdown}. If {@link #listen} has not been called,
+     * the shutdown is complete at once.
      */
-    public void shutDownGracefully(Runnable onClosed) {
+    public void shutDownGracefully(ShutdownSchedule schedule, ShutdownListener shutdownListener) {
         if (listening == null) {
-            onClosed.run();
+            shutdownListener.closed(ShutdownCuts.NONE);
         } else {
-            shutdown.start(onClosed);
+            shutdown.start(schedule, shutdownListener);
         }
     }
 
--- a/sidecar/src/main/java/sagefall/proxy/downstream/GracefulShutdown.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/GracefulShutdown.java
@@ -5,12 +5,14 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import sagefall.http.HttpClientConnection;
+import sagefall.proxy.ShutdownSchedule;
 
 /**
  * Shuts down the listener without losing a request. Goes on accepting while clients still connect,
  * then closes each connection after its response. Idle connections are half-closed before the
  * listening socket is closed. Thus a client whose request arrives just after the half-close can
- * reconnect and resend the request.
+ * reconnect and resend the request. At the end of the {@link ShutdownSchedule} each request without
+ * a response gets one, and all connections are closed.
  */
 final class GracefulShutdown {
 
@@ -36,10 +38,22 @@
     /** Interval of the checks of all connections while they drain. */
     private static final long DRAIN_INTERVAL_MILLIS = IdleSweeper.SWEEP_INTERVAL_MILLIS;
 
+    /** Interval of the checks of all connections once what has no response is ended. */
+    private static final long END_INTERVAL_MILLIS = 10;
+
     private final EventLoop loop;
     private final DownstreamListener listener;
+    private ShutdownSchedule schedule;
+    private ShutdownListener shutdownListener;
     private boolean draining;
+    private boolean closed;
     private long startedAtNanos;
+
+    /** Time at which connections are closed; 0 until what has no response is ended. */
+    private long closeNanos;
+
+    private int endedRequests;
+    private int unreadResponses;
     private long lastAcceptedNanos = System.nanoTime();
     private long lastHalfClosedNanos = lastAcceptedNanos;
 
@@ -63,38 +77,77 @@
         lastHalfClosedNanos = System.nanoTime();
     }
 
-    /**
-     * Starts the shutdown.
-     *
-     * @param onClosed task that runs when all connections and the listening socket are closed
-     */
-    void start(Runnable onClosed) {
+    /** Starts the shutdown. */
+    void start(ShutdownSchedule shutdownSchedule, ShutdownListener newListener) {
+        schedule = shutdownSchedule;
+        shutdownListener = newListener;
         startedAtNanos = System.nanoTime();
         loop.schedule(
                 () -> {
                     draining = true;
-                    drain(onClosed);
+                    drain();
                 },
                 ACCEPT_PERIOD_MILLIS,
                 TimeUnit.MILLISECONDS);
+        loop.schedule(
+                this::end, ShutdownSchedule.nanosUntil(schedule.endNanos()), TimeUnit.NANOSECONDS);
     }
 
-    private void drain(Runnable onClosed) {
+    private void drain() {
+        if (closed) {
+            return;
+        }
         closeConnections();
         Channel listening = listener.listeningChannel();
         if (listening.isOpen() && isQuiet()) {
             closeListening(listening);
         }
         if (!listening.isOpen() && listener.connections().isEmpty()) {
-            onClosed.run();
+            closed();
         } else {
-            loop.schedule(() -> drain(onClosed), DRAIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::drain, DRAIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void closed() {
+        closed = true;
+        shutdownListener.closed(new ShutdownCuts(endedRequests, unreadResponses));
+    }
+
     /**
-     * First aborts all streams if the drain timeout has expired. Then half-closes the connections
-     * between requests, except new connections whose first request may still arrive.
+     * Responds to everything that has no response at the end of the shutdown. Goes on with requests
+     * that arrive now, until the connections are closed.
+     */
+    private void end() {
+        if (closed) {
+            return;
+        }
+        long now = System.nanoTime();
+        if (closeNanos == 0) {
+            draining = true;
+            closeNanos = schedule.closeNanosAfterEnd(now);
+            shutdownListener.ending();
+        }
+        acceptWaiting();
+        for (ClientConnection connection : List.copyOf(listener.connections())) {
+            endedRequests += connection.endRequest() ? 1 : 0;
+        }
+        if (now >= closeNanos) {
+            closeAll();
+        } else {
+            loop.schedule(this::end, END_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void closeAll() {
+        unreadResponses = listener.connectionCounts().unwrittenResponses();
+        listener.closeNow();
+        closed();
+    }
+
+    /**
+     * Aborts all streams if the drain timeout has expired. Then half-closes the connections between
+     * requests, except new connections whose first request may still arrive.
      */
     private void closeConnections() {
         if (millisSinceStart() >= listener.streamingSettings().drainMillis()) {
@@ -120,13 +173,20 @@
      * passed.
      */
     private void closeListening(Channel listening) {
-        listening.config().setAutoRead(true);
-        HttpClientConnection.readAvailableFrom(listening);
+        acceptWaiting();
         if (isQuiet()) {
             listening.close();
         }
     }
 
+    private void acceptWaiting() {
+        Channel listening = listener.listeningChannel();
+        if (listening.isOpen()) {
+            listening.config().setAutoRead(true);
+            HttpClientConnection.readAvailableFrom(listening);
+        }
+    }
+
     /**
      * Returns whether the listening socket may be closed. This is the case if no client has
      * connected and no connection has been half-closed for the quiet period. It is also the case
--- a/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -117,11 +118,36 @@
 
     /** Sends signals to the process, one immediately after the other. */
     void signal(String... signals) throws Exception {
+        Assertions.assertEquals(0, sendSignals(signals));
+    }
+
+    /** Sends signals to the process, unless it has exited. */
+    void signalIfAlive(String... signals) throws Exception {
+        if (process.isAlive()) {
+            sendSignals(signals);
+        }
+    }
+
+    private int sendSignals(String... signals) throws Exception {
         String kill =
                 Stream.of(signals)
                         .map(signal -> "kill -" + signal + " " + process.pid())
                         .collect(Collectors.joining(" && "));
-        Assertions.assertEquals(0, new ProcessBuilder("sh", "-c", kill).start().waitFor());
+        return new ProcessBuilder("sh", "-c", kill).start().waitFor();
+    }
+
+    /** Sends SIGTERM to the process. */
+    void terminate() {
+        process.destroy();
+    }
+
+    /** Kills the process; returns its exit code if it had already exited. */
+    OptionalInt kill() throws InterruptedException {
+        if (!process.isAlive()) {
+            return OptionalInt.of(process.exitValue());
+        }
+        process.destroyForcibly().waitFor();
+        return OptionalInt.empty();
     }
 
     /** Returns the resident memory of the process as the kernel reports it, in KiB. */
