--- a/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
+++ b/sidecar/src/test/java/sagefall/proxy/SidecarProgram.java
@@ -10,10 +10,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Assertions;
+import sagefall.logging.LogEvent;
 
 /**
  * Runs the sidecar as a separate process on a free port. The process uses the configuration file of
@@ -141,6 +143,19 @@
         process.destroy();
     }
 
+    /** Returns a future that completes when the process has exited. */
+    CompletableFuture<Process> onExit() {
+        return process.onExit();
+    }
+
+    /** Returns the logged line of an event, or an empty text if there is none. */
+    String logged(LogEvent event) throws IOException {
+        return output().stream()
+                .filter(line -> line.contains(" " + event.eventName() + " "))
+                .findFirst()
+                .orElse("");
+    }
+
     /** Kills the process; returns its exit code if it had already exited. */
     OptionalInt kill() throws InterruptedException {
         if (!process.isAlive()) {
