Fault injection: slow clients and hanging servers in one shutdown that SIGKILL ends

Change: the fault slow_clients; planned restarts send SIGKILL at the earliest time that the protocol allows; the invariant RESTART counts as the rule does (by the last byte, over 0.7 s after SIGTERM where SIGKILL found the request); the scenario rig-restart-hang with this pair, in the short runs of the test suite.

--- a/testbed/src/main/java/sagefall/faultinjection/ClientFaults.java
+++ b/testbed/src/main/java/sagefall/faultinjection/ClientFaults.java
@@ -32,6 +32,10 @@
                             fault, on -> traffic().disconnectShare += on ? fraction : -fraction);
             case IMMEDIATE_RETRIES ->
                     timeline.during(fault, on -> traffic().immediateRetries = on ? (int) size : 0);
+            case SLOW_CLIENTS ->
+                    timeline.during(
+                            fault,
+                            on -> members.slowClients().set(on ? fraction : 0, fault.sizeMicros()));
             default -> {
                 return false;
             }
--- a/testbed/src/main/java/sagefall/faultinjection/ClientLoad.java
+++ b/testbed/src/main/java/sagefall/faultinjection/ClientLoad.java
@@ -1,6 +1,7 @@
 package sagefall.faultinjection;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -11,7 +12,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
@@ -22,6 +25,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import sagefall.faultinjection.history.ResponseStatus;
 
@@ -43,11 +47,22 @@
      */
     record RequestResult(int status, long retryMicros, String body) {}
 
+    /**
+     * How a request is written.
+     *
+     * @param durationMicros time from the first byte to the last byte, in microseconds; 0 to write
+     *     the request at once. A slow request has a connection of its own
+     * @param onWritten task that runs on the event loop when the last byte of a slow request has
+     *     been written
+     */
+    record SlowWrite(long durationMicros, Runnable onWritten) {}
+
     /** A request of the client application, and the connection on which it was sent. */
     static final class Exchange {
         private final String path;
         private final Map<String, String> headers;
         private final byte[] body;
+        private final SlowWrite slowWrite;
         private final Consumer<RequestResult> listener;
         private Channel channel;
         private boolean resent;
@@ -57,13 +72,19 @@
                 String path,
                 Map<String, String> headers,
                 byte[] body,
+                SlowWrite slowWrite,
                 Consumer<RequestResult> listener) {
             this.path = path;
             this.headers = headers;
             this.body = body;
+            this.slowWrite = slowWrite;
             this.listener = listener;
         }
 
+        private boolean isSlow() {
+            return slowWrite.durationMicros > 0;
+        }
+
         private void end(RequestResult result) {
             if (!ended) {
                 ended = true;
@@ -74,6 +95,9 @@
 
     private static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
+    /** Number of pieces in which the body of a slow request is written. */
+    private static final int SLOW_WRITE_PIECES = 20;
+
     private final EventLoop loop;
     private final InetSocketAddress sidecar;
     private final ArrayDeque<Channel> idle = new ArrayDeque<>();
@@ -91,11 +115,12 @@
             String path,
             Map<String, String> headers,
             byte[] body,
+            SlowWrite slowWrite,
             Consumer<RequestResult> listener) {
-        Exchange exchange = new Exchange(path, headers, body, listener);
+        Exchange exchange = new Exchange(path, headers, body, slowWrite, listener);
         loop.execute(
                 () -> {
-                    Channel open = idle.pollFirst();
+                    Channel open = exchange.isSlow() ? null : idle.pollFirst();
                     while (open != null && !open.isActive()) {
                         open = idle.pollFirst();
                     }
@@ -163,15 +188,44 @@
         connection.current = exchange;
         connection.responseStarted = false;
         exchange.channel = channel;
-        DefaultFullHttpRequest request =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.POST,
-                        exchange.path,
-                        Unpooled.wrappedBuffer(exchange.body));
-        request.headers().set("Host", "sidecar").set("Content-Length", exchange.body.length);
-        exchange.headers.forEach(request.headers()::set);
-        channel.writeAndFlush(request);
+        DefaultHttpRequest head =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, exchange.path);
+        head.headers().set("Host", "sidecar").set("Content-Length", exchange.body.length);
+        exchange.headers.forEach(head.headers()::set);
+        channel.write(head);
+        if (exchange.isSlow()) {
+            channel.flush();
+            writePiece(channel, exchange, 0);
+        } else {
+            channel.writeAndFlush(
+                    new DefaultLastHttpContent(Unpooled.wrappedBuffer(exchange.body)));
+        }
+    }
+
+    /** Writes a piece of the body of a slow request, and schedules the next piece. */
+    private void writePiece(Channel channel, Exchange exchange, int piece) {
+        if (exchange.ended || !channel.isActive()) {
+            return;
+        }
+        int from = exchange.body.length * piece / SLOW_WRITE_PIECES;
+        int to = exchange.body.length * (piece + 1) / SLOW_WRITE_PIECES;
+        ByteBuf bytes = Unpooled.wrappedBuffer(exchange.body, from, to - from);
+        if (piece == SLOW_WRITE_PIECES - 1) {
+            channel.writeAndFlush(new DefaultLastHttpContent(bytes))
+                    .addListener(written -> reportWritten(exchange, written.isSuccess()));
+            return;
+        }
+        channel.writeAndFlush(new DefaultHttpContent(bytes));
+        loop.schedule(
+                () -> writePiece(channel, exchange, piece + 1),
+                exchange.slowWrite.durationMicros / (SLOW_WRITE_PIECES - 1),
+                TimeUnit.MICROSECONDS);
+    }
+
+    private static void reportWritten(Exchange exchange, boolean success) {
+        if (success && !exchange.ended) {
+            exchange.slowWrite.onWritten.run();
+        }
     }
 
     /** A connection to the sidecar, with at most one request in flight. */
--- a/testbed/src/main/java/sagefall/faultinjection/FaultInjectionRun.java
+++ b/testbed/src/main/java/sagefall/faultinjection/FaultInjectionRun.java
@@ -49,7 +49,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final RunContext context;
-    private final RunMembers members = new RunMembers();
+    private final RunMembers members;
     private final EventLoopGroup group;
     private final EmulatedNetwork network;
     private final MemberFactory factory;
@@ -74,6 +74,7 @@
         Files.createDirectories(directory.history());
         plan.write(directory.plan());
         context = context(plan, scenario, directory);
+        members = new RunMembers(context.randomStreams().stream("clients.slow"));
         Runtime.getRuntime().addShutdownHook(shutdownHook);
         group = new MultiThreadIoEventLoopGroup(RELAY_THREADS, NioIoHandler.newFactory());
         int zones = scenario.fleet().zones().size();
--- a/testbed/src/main/java/sagefall/faultinjection/RunMembers.java
+++ b/testbed/src/main/java/sagefall/faultinjection/RunMembers.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
 import sagefall.emulator.ClientTraffic;
 import sagefall.emulator.EmulatedDiscovery;
 import sagefall.faultinjection.process.StandInProcess;
@@ -20,9 +21,20 @@
     private final Map<Long, ServerMember> servers = new LinkedHashMap<>();
     private final List<ServerProcess> processes = new ArrayList<>();
     private final List<StandInProcess> discoveryReplicas = new ArrayList<>();
+    private final SlowClients slowClients;
     private EmulatedDiscovery discovery;
     private ClientTraffic traffic;
 
+    /** Creates an empty fleet; the random stream decides which clients are slow. */
+    RunMembers(UniformRandomProvider slowClientsRandom) {
+        slowClients = new SlowClients(slowClientsRandom);
+    }
+
+    /** Returns which requests their clients write slowly. */
+    SlowClients slowClients() {
+        return slowClients;
+    }
+
     List<SidecarMember> sidecars() {
         return sidecars;
     }
--- a/testbed/src/main/java/sagefall/faultinjection/SidecarControl.java
+++ b/testbed/src/main/java/sagefall/faultinjection/SidecarControl.java
@@ -17,6 +17,15 @@
      */
     private static final int IDLE_TOLERANCE_DESCRIPTORS = 4;
 
+    /**
+     * Minimum time from SIGTERM to SIGKILL, in addition to the deadline of requests, in
+     * microseconds.
+     */
+    private static final long KILL_DELAY_MICROS = 700_000;
+
+    /** Longer deadlines count as this one for the time of SIGKILL, in microseconds. */
+    private static final long MAX_COUNTED_DEADLINE_MICROS = 3_000_000;
+
     /** Time after SIGTERM during which clients still open new connections, in microseconds. */
     private static final long DRAINING_DELAY_MICROS = 300_000;
 
@@ -228,7 +237,8 @@
 
     /**
      * Performs a planned restart. Sends SIGTERM, and after {@link #DRAINING_DELAY_MICROS} stops
-     * clients from opening new connections. Starts a new process {@code downMicros} after the old
+     * clients from opening new connections. Sends SIGKILL at the earliest time that the protocol
+     * allows, if the process has not exited. Starts a new process {@code downMicros} after the old
      * process has exited. Has no effect while the sidecar is down.
      */
     void restart(long downMicros) {
@@ -239,6 +249,15 @@
         recordProcess("term");
         process.process().destroy();
         context.eventLoop().queue().scheduleAfter(DRAINING_DELAY_MICROS, () -> draining = true);
+        SidecarChildProcess terminated = process;
+        context.eventLoop()
+                .queue()
+                .scheduleAfter(
+                        Math.min(
+                                        context.requestClass().deadlineMicros(),
+                                        MAX_COUNTED_DEADLINE_MICROS)
+                                + KILL_DELAY_MICROS,
+                        () -> killIfRunning(terminated.process()));
         process.process()
                 .onExit()
                 .thenRun(
@@ -251,6 +270,14 @@
                                                 }));
     }
 
+    /** Sends SIGKILL to a process that has not exited after SIGTERM. */
+    private void killIfRunning(Process terminated) {
+        if (terminated.isAlive()) {
+            recordProcess("overdue");
+            terminated.destroyForcibly();
+        }
+    }
+
     /** Suspends the process by SIGSTOP. */
     void stop() throws IOException {
         recordProcess("stop");
--- a/testbed/src/main/java/sagefall/faultinjection/SidecarRequests.java
+++ b/testbed/src/main/java/sagefall/faultinjection/SidecarRequests.java
@@ -56,12 +56,14 @@
     void send(ClientRequest request, boolean retry) {
         long timeoutMicros = request.deadlineMicros - request.receivedAtMicros;
         String key = idempotencyKey(request);
-        recordIntent(request, key, timeoutMicros);
+        long writeMicros = members.slowClients().drawWriteMicros();
+        recordIntent(request, key, timeoutMicros, writeMicros > 0);
         ClientLoad.Exchange exchange =
                 application.post(
                         "/save/" + Long.toHexString(request.operation.key),
                         headers(request, key, timeoutMicros, retry),
                         body(request),
+                        new ClientLoad.SlowWrite(writeMicros, () -> recordWritten(request)),
                         result -> context.eventLoop().run(() -> onResult(request, result)));
         openRequests.put(request.id, new OpenRequest(exchange, control.incarnation()));
         context.eventLoop()
@@ -71,7 +73,11 @@
                         () -> endWithoutResponse(request));
     }
 
-    private void recordIntent(ClientRequest request, String key, long timeoutMicros) {
+    private void recordWritten(ClientRequest request) {
+        context.history().write(EntryKind.WRITTEN, "id", request.id, "who", sidecar);
+    }
+
+    private void recordIntent(ClientRequest request, String key, long timeoutMicros, boolean slow) {
         context.history()
                 .write(
                         EntryKind.INTENT,
@@ -86,7 +92,9 @@
                         "timeout_us",
                         timeoutMicros,
                         "beyond",
-                        request.operation.overQuota);
+                        request.operation.overQuota,
+                        "slow",
+                        slow);
     }
 
     /**
--- a/testbed/src/main/java/sagefall/faultinjection/history/EntryKind.java
+++ b/testbed/src/main/java/sagefall/faultinjection/history/EntryKind.java
@@ -16,6 +16,8 @@
     END("end"),
     /** A request was handed to the client process of a sidecar. */
     INTENT("intent"),
+    /** The last byte of a request that its client writes slowly was written. */
+    WRITTEN("written"),
     /**
      * A request ended at the client process. The status in the entry is that of the final response,
      * or shows that no response arrived.
--- a/testbed/src/main/java/sagefall/faultinjection/invariant/ObservedRun.java
+++ b/testbed/src/main/java/sagefall/faultinjection/invariant/ObservedRun.java
@@ -86,6 +86,7 @@
     void apply(HistoryEntry entry) {
         switch (entry.kind()) {
             case INTENT -> request(entry).recordIntent(entry);
+            case WRITTEN -> request(entry).recordWritten(entry);
             case ABANDONED -> request(entry).markAbandoned();
             case ANSWER -> request(entry).recordResponse(entry);
             case SEND -> request(entry).addAttempt(attempt(entry));
--- a/testbed/src/main/java/sagefall/faultinjection/invariant/ProcessStates.java
+++ b/testbed/src/main/java/sagefall/faultinjection/invariant/ProcessStates.java
@@ -8,7 +8,7 @@
 
 /**
  * Tracks the intervals for which the process of each sidecar was stopped by SIGSTOP, down after a
- * kill, or shutting down after SIGTERM.
+ * kill, shutting down after SIGTERM, or down after a SIGKILL that ended its shutdown.
  */
 final class ProcessStates {
 
@@ -58,6 +58,7 @@
     private final Intervals stopped = new Intervals();
     private final Intervals killed = new Intervals();
     private final Intervals terminating = new Intervals();
+    private final Intervals overdue = new Intervals();
 
     /** Applies a process entry of a sidecar. */
     void apply(HistoryEntry entry) {
@@ -65,11 +66,13 @@
         switch (entry.text("what")) {
             case "kill" -> killed.open(sidecar, entry.atNanos());
             case "term" -> terminating.open(sidecar, entry.atNanos());
+            case "overdue" -> overdue.open(sidecar, entry.atNanos());
             case "stop" -> stopped.open(sidecar, entry.atNanos());
             case "cont" -> stopped.close(sidecar, entry.atNanos());
             case "ready" -> {
                 killed.close(sidecar, entry.atNanos());
                 terminating.close(sidecar, entry.atNanos());
+                overdue.close(sidecar, entry.atNanos());
                 stopped.close(sidecar, entry.atNanos());
             }
             default -> {}
@@ -88,6 +91,24 @@
         return killed.anyOverlaps(sidecar, from, to);
     }
 
+    /** Returns whether SIGKILL has ended the current shutdown of a sidecar. */
+    boolean isOverdue(int sidecar) {
+        return overdue.isOpen(sidecar);
+    }
+
+    boolean wasOverdueWithin(int sidecar, long from, long to) {
+        return overdue.anyOverlaps(sidecar, from, to);
+    }
+
+    /** Returns the time of the latest SIGTERM before the given time; 0 if there is none. */
+    long latestTerminationBefore(int sidecar, long at) {
+        return terminating.of(sidecar).stream()
+                .mapToLong(interval -> interval.begin)
+                .filter(begin -> begin <= at)
+                .max()
+                .orElse(0);
+    }
+
     boolean wasTerminatingWithin(int sidecar, long from, long to) {
         return terminating.anyOverlaps(sidecar, from, to);
     }
--- a/testbed/src/main/java/sagefall/scenario/FaultKind.java
+++ b/testbed/src/main/java/sagefall/scenario/FaultKind.java
@@ -190,6 +190,16 @@
      * the magnitude is the number of seconds by which the clock is ahead.
      */
     WRONG_CLOCK("wrong_clock", EnumSet.of(ScenarioRunner.FAULT_INJECTION), MAGNITUDE, FRACTION),
+    /**
+     * A fraction of the requests is written slowly, in pieces; the magnitude is the time in seconds
+     * from the first byte to the last byte.
+     */
+    SLOW_CLIENTS(
+            "slow_clients",
+            EnumSet.of(ScenarioRunner.FAULT_INJECTION),
+            DURATION,
+            FRACTION,
+            MAGNITUDE),
     /** The leader at the start of the fault is suspended (SIGSTOP) and later continued. */
     STOP_LEASE_HOLDER("stop_owner", EnumSet.of(ScenarioRunner.FAULT_INJECTION), DURATION),
     /**
--- a/testbed/src/main/java/sagefall/scenario/Scenario.java
+++ b/testbed/src/main/java/sagefall/scenario/Scenario.java
@@ -45,6 +45,7 @@
                     "rig-calm",
                     "rig-kill",
                     "rig-restart",
+                    "rig-restart-hang",
                     "rig-zone",
                     "rig-one-way",
                     "rig-slow-servers",
--- a/testbed/src/test/java/sagefall/faultinjection/FaultInjectionRunTest.java
+++ b/testbed/src/test/java/sagefall/faultinjection/FaultInjectionRunTest.java
@@ -68,6 +68,7 @@
     @CsvSource({
         "rig-kill, 11",
         "rig-restart, 12",
+        "rig-restart-hang, 18",
         "rig-zone, 13",
         "rig-disagree, 15",
         "rig-stop, 16",
--- a/testbed/src/test/java/sagefall/faultinjection/FaultScheduleGoldenTest.java
+++ b/testbed/src/test/java/sagefall/faultinjection/FaultScheduleGoldenTest.java
@@ -41,6 +41,7 @@
                 "rig-owner",
                 "rig-reborn",
                 "rig-restart",
+                "rig-restart-hang",
                 "rig-second-loss",
                 "rig-slow-servers",
                 "rig-slow-sidecars",
