--- a/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
+++ b/sidecar/src/main/java/sagefall/proxy/SidecarServer.java
@@ -6,7 +6,6 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import sagefall.balancer.DefaultLoadBalancer;
@@ -26,8 +25,6 @@
 import sagefall.persistence.EndpointSnapshot;
 import sagefall.persistence.SnapshotStore;
 import sagefall.proxy.downstream.DownstreamListener;
-import sagefall.proxy.downstream.ShutdownCuts;
-import sagefall.proxy.downstream.ShutdownListener;
 import sagefall.proxy.upstream.ConnectionPool;
 import sagefall.streaming.BufferAccounting;
 import sagefall.streaming.StreamingSettings;
@@ -40,7 +37,6 @@
 final class SidecarServer {
 
     private final EventLoop loop;
-    private final WallClock clock = new WallClock();
     private final LoopLatencyClock latencyClock;
     private final SidecarConfig config;
     private final Consumer<String> log;
@@ -54,7 +50,7 @@
     private final RecoveryStartup recovery;
     private final BalancerRequestHandler requestHandler;
     private final DownstreamListener listener;
-    private final ShutdownLog shutdownLog;
+    private final ShutdownCoordinator shutdown;
 
     /** Completes with the listening address once clients can connect. */
     private final CompletableFuture<InetSocketAddress> started = new CompletableFuture<>();
@@ -80,11 +76,11 @@
         this.latencyClock = latencyClock;
         this.config = config;
         log = line -> logStream.println(config.name() + " " + line);
+        WallClock clock = new WallClock();
         DeadlineTimers deadlines = new DeadlineTimers(loop, clock, this::expire);
         memory = new BufferMemory(BufferLimits.ofJvm(), log);
         InFlightRequests requests = new InFlightRequests(deadlines, memory);
         ResponseWriter responses = new ResponseWriter(requests);
-        shutdownLog = new ShutdownLog(log, requests);
         driver =
                 new BalancerDriver(
                         clock,
@@ -114,6 +110,14 @@
                         config.settings().limits().maxOpenRequests(),
                         memory,
                         log);
+        shutdown =
+                new ShutdownCoordinator(
+                        clock,
+                        config.settings().classes(),
+                        requests,
+                        requestHandler,
+                        listener,
+                        log);
         ProxyActions actions =
                 new ProxyActions(loop, clock, driver, forwarder, responses, discovery, log);
         driver.setBalancer(balancerFactory.apply(config.settings(), actions));
@@ -276,50 +280,21 @@
     void stop(long noticedAtNanos, Runnable stopped) {
         if (!state.isStopping()) {
             state = state.transitionTo(LifecycleState.DRAINING);
-            ShutdownSchedule schedule = shutdownSchedule(noticedAtNanos);
-            shutdownLog.started(schedule, listener.connectionCounts());
-            requestHandler.limitDeadlines(microsAt(schedule.latestResponseNanos()));
-            listener.shutDownGracefully(schedule, new Drain(schedule, stopped));
+            shutdown.start(noticedAtNanos, () -> onDrained(stopped));
         }
     }
 
     /** Returns the schedule of a shutdown. May be called on any thread. */
     ShutdownSchedule shutdownSchedule(long noticedAtNanos) {
-        return ShutdownSchedule.of(noticedAtNanos, config.settings().classes());
+        return shutdown.schedule(noticedAtNanos);
     }
 
-    /** Converts a time of {@link System#nanoTime()} to Unix time in microseconds. */
-    private long microsAt(long nanos) {
-        return clock.micros() + TimeUnit.NANOSECONDS.toMicros(ShutdownSchedule.nanosUntil(nanos));
-    }
-
-    /** Logs the end of a shutdown, and completes the shutdown when the listener is closed. */
-    private final class Drain implements ShutdownListener {
-        private final ShutdownSchedule schedule;
-        private final Runnable stopped;
-
-        Drain(ShutdownSchedule schedule, Runnable stopped) {
-            this.schedule = schedule;
-            this.stopped = stopped;
-        }
-
-        @Override
-        public void ending() {
-            shutdownLog.ending(
-                    schedule,
-                    microsAt(schedule.lateRequestsFromNanos()),
-                    listener.connectionCounts());
-        }
-
-        @Override
-        public void closed(ShutdownCuts cuts) {
-            discovery.close();
-            pool.close();
-            logStreamBuffers();
-            shutdownLog.ended(schedule, requestHandler.shortenedDeadlines(), cuts);
-            state = state.transitionTo(LifecycleState.STOPPED);
-            stopped.run();
-        }
+    private void onDrained(Runnable stopped) {
+        discovery.close();
+        pool.close();
+        logStreamBuffers();
+        state = state.transitionTo(LifecycleState.STOPPED);
+        stopped.run();
     }
 
     private void logStreamBuffers() {
