--- a/testbed/src/test/java/sagefall/faultinjection/invariant/InvariantChecksTest.java
+++ b/testbed/src/test/java/sagefall/faultinjection/invariant/InvariantChecksTest.java
@@ -86,19 +86,19 @@
                 "connection closes in a planned restart of the sidecar | @sent 140 process who 0 "
                         + "what term; 150 answer id r who 0 status 0; 200 process who 0 what exit "
                         + "status 0 | RESTART",
-                "SIGKILL finds a request that came over 0.7 s after SIGTERM | 50 process who 0 what "
-                        + "term; 860 intent id r who 0 key k wish 1 timeout_us 1000000; 1700 "
+                "SIGKILL finds a request that came over 0.7 s after SIGTERM | 50 process who 0 "
+                        + "what term; 860 intent id r who 0 key k wish 1 timeout_us 1000000; 1700 "
                         + "process who 0 what overdue; 1701 answer id r who 0 status 0; 1702 "
                         + "process who 0 what exit status 137 | RESTART",
-                "SIGKILL finds a request whose last byte came over 0.7 s after SIGTERM | 50 process "
-                        + "who 0 what term; 90 intent id r who 0 key k wish 1 timeout_us 1000000 "
-                        + "slow true; 900 written id r who 0; 1700 process who 0 what overdue; "
-                        + "1701 answer id r who 0 status 0; 1702 process who 0 what exit status "
-                        + "137 | RESTART",
-                "SIGKILL finds a request that came soon after SIGTERM | 50 process who 0 what term; "
-                        + "700 intent id r who 0 key k wish 1 timeout_us 1000000; 1700 process "
-                        + "who 0 what overdue; 1701 answer id r who 0 status 0; 1702 process who 0 "
-                        + "what exit status 137 |",
+                "SIGKILL finds a request whose last byte came over 0.7 s after SIGTERM | 50 "
+                        + "process who 0 what term; 90 intent id r who 0 key k wish 1 "
+                        + "timeout_us 1000000 slow true; 900 written id r who 0; 1700 "
+                        + "process who 0 what overdue; 1701 answer id r who 0 status 0; 1702 "
+                        + "process who 0 what exit status 137 | RESTART",
+                "SIGKILL finds a request that came soon after SIGTERM | 50 process who 0 what "
+                        + "term; 700 intent id r who 0 key k wish 1 timeout_us 1000000; 1700 "
+                        + "process who 0 what overdue; 1701 answer id r who 0 status 0; 1702 "
+                        + "process who 0 what exit status 137 |",
                 "process ends by itself without a response to a request that came soon after "
                         + "SIGTERM | 50 process who 0 what term; 700 intent id r who 0 key k wish "
                         + "1 timeout_us 1000000; 1650 answer id r who 0 status 0; 1651 process who "
