--- a/sidecar/src/main/java/sagefall/proxy/downstream/GracefulShutdown.java
+++ b/sidecar/src/main/java/sagefall/proxy/downstream/GracefulShutdown.java
@@ -24,8 +24,8 @@
 
     /**
      * Maximum time from the start of the shutdown until the listening socket is closed, even if
-     * clients still connect. The process must exit, and the protocol requires responses only to
-     * requests that arrive within 0.7 s after SIGTERM.
+     * clients still connect. According to the protocol, clients open no new connections long before
+     * this time.
      */
     private static final long MAX_ACCEPT_PERIOD_MILLIS = 1_500;
 
